--- /dev/null
+++ b/include/http/http_server.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "include/core/result.h"
+#include "include/http/http_message.h"
+
+#include <asio/io_context.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace wagtailhatch {
+
+/// One request and the means to answer it. One thread.
+class http_exchange {
+public:
+    virtual ~http_exchange() = default;
+    virtual http_request& request() = 0;
+
+    /// Sends the whole response. The first call counts.
+    virtual void respond(http_response response) = 0;
+
+    /// Runs once if the client goes away before respond().
+    virtual void on_disconnect(std::function<void()> callback) = 0;
+};
+
+/// Limits are enforced while reading, before anything is buffered beyond them.
+struct http_server_options {
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0; ///< 0: chosen by the system.
+    std::size_t max_url = 8 * 1024;
+    std::size_t max_header_field = 16 * 1024;
+    std::size_t max_header_count = 100;
+    std::size_t max_body = std::size_t{8} << 20;
+    std::size_t max_connections = 1000;
+    std::chrono::milliseconds read_timeout{
+        10'000}; ///< For a whole request to arrive, and for idle keep-alive connections.
+    std::chrono::milliseconds handle_timeout{120'000}; ///< Upper bound of a handler's answer time.
+};
+
+/// HTTP/1.1 server. Handlers run on the io_context's thread.
+class http_server {
+public:
+    using handler = std::function<void(std::shared_ptr<http_exchange>)>;
+
+    virtual ~http_server() = default;
+    virtual std::uint16_t port() const = 0;
+
+    /// Stops accepting; answers already being made are sent with `Connection: close`, idle connections are
+    /// closed.
+    virtual void drain() = 0;
+
+    /// Closes everything.
+    virtual void stop() = 0;
+};
+
+/// Opens the listener; fails with the system's error and the address.
+result<std::unique_ptr<http_server>>
+make_http_server(asio::io_context& io, const http_server_options& options, http_server::handler handler);
+
+} // namespace wagtailhatch
