--- /dev/null
+++ b/src/node/handle_table.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "include/core/call_context.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace wagtailhatch {
+
+/// What the node remembers of a request that its target is running. Outgoing calls of the target
+/// share it. Traffic thread only.
+struct active_call {
+    call_context context;             ///< retry_tokens is the pot that all outgoing calls share.
+    bool downstream_refused = false;  ///< A call below was refused; senders above must not retry.
+    std::uint64_t outgoing_calls = 0; ///< Numbers the calls, to derive their idempotency keys.
+};
+
+/// Live handles of the requests in flight at this node's target. A handle is 128 random bits, so a
+/// target cannot guess one of another workspace; it is erased when its request ends.
+class handle_table {
+public:
+    /// Stores the call and returns its handle.
+    std::string insert(std::shared_ptr<active_call> call);
+
+    /// The live call, or nullptr.
+    std::shared_ptr<active_call> find(const std::string& handle) const;
+
+    void erase(const std::string& handle);
+    std::size_t size() const { return calls_.size(); }
+
+private:
+    std::unordered_map<std::string, std::shared_ptr<active_call>> calls_;
+};
+
+} // namespace wagtailhatch
