Add the overload decision modules

Admission controller, concurrency limit, request queue, shed controller, crash quarantine, retry tokens and throttle, balancer, target view and entry shedder, as state machines without sockets, threads or clocks of their own. call_context gains the entry route, because pressure of services further down differs by route. Builds; not yet measured, tests follow.

--- /dev/null
+++ b/include/admission/request_queue.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "include/core/clock.h"
+#include "include/core/importance.h"
+#include "include/core/string_map.h"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace wagtailhatch {
+
+struct request_queue_options {
+    bool last_in_first_out = true; ///< Under standing overload.
+    bool ageing = true;            ///< Drops entries that waited too long under standing overload.
+    bool fair = true;              ///< Round robin between workspaces; off: one queue for each class.
+    duration target_wait = std::chrono::milliseconds{50};
+    duration interval =
+        std::chrono::milliseconds{100}; ///< A wait above target for this long is a standing one.
+};
+
+struct queued_request {
+    std::uint64_t id = 0;
+    importance level = importance::normal;
+    steady_time deadline{};
+    steady_time enqueued{};
+};
+
+/// Waiting requests of one target: classes in strict order, within a class deficit round robin between
+/// workspaces, within a workspace by arrival, or newest first while the class has a standing queue.
+/// Bounded by the caller through evict_for().
+class request_queue {
+public:
+    explicit request_queue(request_queue_options options);
+
+    /// Relative share of a workspace; 1 unless set. Use the workspaces' rates.
+    void set_weight(std::string_view workspace, double weight);
+
+    void push(const queued_request& request, std::string_view workspace);
+
+    /// The next to start, or nothing.
+    std::optional<queued_request> pop(steady_time now);
+
+    bool remove(std::uint64_t id);
+
+    /// Makes room for a request: removes one entry that is worth less than it, by class, then by the
+    /// workspace that has the most waiting for its weight. Nothing if the request itself is worth least.
+    std::optional<queued_request> evict_for(importance level, std::string_view workspace);
+
+    /// Removes entries that cannot finish in time if they need `service_time`, and entries that waited too
+    /// long while their class has a standing queue.
+    void sweep(steady_time now, duration service_time, std::vector<queued_request>& expired,
+               std::vector<queued_request>& aged);
+
+    std::size_t size() const { return size_; }
+    std::size_t size(importance level) const { return classes_.at(static_cast<std::size_t>(level)).size; }
+    bool standing(importance level) const { return classes_.at(static_cast<std::size_t>(level)).standing; }
+    bool standing() const;
+
+    /// Removes and returns everything.
+    std::vector<queued_request> clear();
+
+    void set_target_wait(duration wait) { options_.target_wait = wait; }
+
+private:
+    struct flow {
+        std::deque<queued_request> entries;
+        double deficit = 0;
+        std::uint32_t workspace = 0;
+        bool active = false;
+    };
+    struct class_queue {
+        std::vector<flow> flows;            ///< By workspace index.
+        std::deque<std::uint32_t> rotation; ///< Indices of flows with entries.
+        std::size_t size = 0;
+        steady_time above_since{};
+        steady_time last_above{};
+        bool standing = false;
+    };
+
+    std::uint32_t index_of(std::string_view workspace);
+    flow& flow_of(class_queue& c, std::uint32_t workspace);
+    flow* next_flow(class_queue& c);
+    flow* heaviest_flow(class_queue& c);
+    void deactivate_if_empty(class_queue& c, flow& f);
+    void update_standing(class_queue& c, steady_time now);
+    void sweep_flow(class_queue& c, flow& f, steady_time now, duration service_time,
+                    std::vector<queued_request>& expired, std::vector<queued_request>& aged);
+    double weight_of(std::uint32_t workspace) const { return weights_.at(workspace); }
+
+    request_queue_options options_;
+    string_map<std::uint32_t> index_;
+    std::vector<double> weights_;
+    double smallest_weight_ = 1;
+    std::array<class_queue, importance_count> classes_;
+    std::unordered_map<std::uint64_t, std::pair<std::uint8_t, std::uint32_t>> where_;
+    std::size_t size_ = 0;
+};
+
+} // namespace wagtailhatch
--- a/include/core/call_context.h
+++ b/include/core/call_context.h
@@ -19,6 +19,7 @@
 /// What a request carries down its chain. Built at the entry, never from headers of outside callers.
 struct call_context {
     std::string workspace; ///< Empty on routes open to all.
+    std::string route;     ///< Name of the entry route; pressure of services further down is kept by it.
     importance level = importance::normal;
     steady_time deadline{};         ///< Local monotonic time; travels as remaining time.
     std::uint32_t retry_tokens = 0; ///< Extra attempts that this call and all calls below it may still use.
--- /dev/null
+++ b/include/core/string_map.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace wagtailhatch {
+
+/// Lets maps with string keys be searched by string_view without a copy.
+struct string_hash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view s) const { return std::hash<std::string_view>{}(s); }
+};
+
+template <typename T>
+using string_map = std::unordered_map<std::string, T, string_hash, std::equal_to<>>;
+
+} // namespace wagtailhatch
--- /dev/null
+++ b/include/routing/entry_shedder.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "include/admission/load_report.h"
+#include "include/core/clock.h"
+#include "include/core/random_source.h"
+#include "include/core/string_map.h"
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wagtailhatch {
+
+struct entry_shedder_options {
+    bool fair = true; ///< Off: every workspace loses the same part.
+    duration window = std::chrono::milliseconds{100};
+};
+
+/// Sheds at the entry the part of a class that the level says. Divides what is admitted between workspaces by
+/// weighted max-min fairness over this sender's own traffic, so a workspace that asks for less than its share
+/// loses nothing.
+class entry_shedder {
+public:
+    entry_shedder(entry_shedder_options options, random_source& random);
+
+    void set_weight(std::string_view workspace, double weight);
+
+    bool should_shed(importance level, std::string_view workspace, admit_level admitted, steady_time now);
+
+private:
+    struct demand {
+        double weight = 1;
+        std::array<double, importance_count> rate{};    ///< Requests in a window, smoothed.
+        std::array<double, importance_count> current{}; ///< Requests in this window.
+    };
+    struct share {
+        double fraction = -1; ///< Admitted fraction that the water level was computed for.
+        double water = 0;     ///< Admitted requests in a window for each unit of weight.
+    };
+
+    std::uint32_t index_of(std::string_view workspace);
+    void end_window(steady_time now);
+    double water_level(std::size_t level, double fraction);
+
+    entry_shedder_options options_;
+    random_source& random_;
+    string_map<std::uint32_t> index_;
+    std::vector<demand> demands_;
+    std::array<share, importance_count> shares_{};
+    std::vector<std::pair<double, double>> scratch_;
+    steady_time window_start_{};
+};
+
+} // namespace wagtailhatch
--- /dev/null
+++ b/src/admission/admission_controller.cpp
@@ -0,0 +1,214 @@
+#include "include/admission/admission_controller.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace wagtailhatch {
+namespace {
+
+// Weight of one request in the running mean of latency.
+constexpr double latency_smoothing = 0.05;
+constexpr std::size_t smallest_queue = 16;
+constexpr duration sweep_interval = std::chrono::milliseconds{5};
+constexpr duration shortest_retry_after = std::chrono::milliseconds{100};
+constexpr duration longest_target_wait = std::chrono::milliseconds{500};
+// Requests of several routes share the mean latency; half of it is a safe lower bound of what one needs.
+constexpr double least_service_part = 0.5;
+
+duration from_seconds(double s)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(s));
+}
+
+} // namespace
+
+admission_controller::admission_controller(const admission_options& options)
+    : options_{options}
+    , limit_{options.limit}
+    , queue_{options.queue}
+    , shedding_{options.shedding}
+{
+}
+
+std::uint32_t admission_controller::limit() const
+{
+    return options_.adaptive_limit ? limit_.limit() : options_.limit.initial;
+}
+
+std::size_t admission_controller::queue_bound() const
+{
+    return std::max<std::size_t>(smallest_queue, limit());
+}
+
+duration admission_controller::wait_for(importance level) const
+{
+    if (running_.size() < limit()) {
+        return {};
+    }
+    std::size_t ahead = 1;
+    for (std::size_t i = 0; i <= static_cast<std::size_t>(level); ++i) {
+        ahead += queue_.size(static_cast<importance>(i));
+    }
+    return from_seconds(static_cast<double>(ahead) * mean_latency_ / limit());
+}
+
+admission_decision admission_controller::refuse(refusal_reason reason, steady_time)
+{
+    if (reason == refusal_reason::overload) {
+        shedding_.on_refusal();
+    }
+    return {admission_decision::kind::refused, reason,
+            std::max(shortest_retry_after, wait_for(importance::low))};
+}
+
+admission_decision admission_controller::submit(const admission_ticket& ticket, steady_time now)
+{
+    if (state_ == target_state::down) {
+        return refuse(refusal_reason::no_target, now);
+    }
+    if (state_ == target_state::draining) {
+        return refuse(refusal_reason::leaving, now);
+    }
+    if (ticket.deadline <= now) {
+        return refuse(refusal_reason::deadline, now);
+    }
+    shedding_.on_arrival(ticket.level);
+    if (running_.size() < limit() && queue_.size() == 0) {
+        start(ticket.id, now);
+        return {admission_decision::kind::start, refusal_reason::none, {}};
+    }
+    if (!options_.queueing) {
+        return refuse(refusal_reason::overload, now);
+    }
+    return enqueue(ticket, now);
+}
+
+admission_decision admission_controller::enqueue(const admission_ticket& ticket, steady_time now)
+{
+    const auto needed = wait_for(ticket.level) + from_seconds(mean_latency_ * least_service_part);
+    if (options_.deadline_aware && now + needed > ticket.deadline) {
+        return refuse(refusal_reason::overload, now);
+    }
+    if (queue_.size() >= queue_bound()) {
+        const auto victim = queue_.evict_for(ticket.level, ticket.workspace);
+        if (!victim) {
+            return refuse(refusal_reason::overload, now);
+        }
+        shedding_.on_refusal();
+        pending_.refuse.push_back({victim->id, refusal_reason::overload});
+    }
+    queue_.push({ticket.id, ticket.level, ticket.deadline, now}, ticket.workspace);
+    return {admission_decision::kind::queued, refusal_reason::none, {}};
+}
+
+void admission_controller::start(std::uint64_t id, steady_time now)
+{
+    [[maybe_unused]] const bool fresh = running_.emplace(id, running{now}).second;
+    assert(fresh && "ticket ids must be unique");
+}
+
+void admission_controller::finish(std::uint64_t id, duration own_latency, bool success, steady_time now)
+{
+    const auto it = running_.find(id);
+    if (it == running_.end()) {
+        return;
+    }
+    const double total = std::chrono::duration<double>(now - it->second.started).count();
+    mean_latency_ = mean_latency_ <= 0 ? total : mean_latency_ + (total - mean_latency_) * latency_smoothing;
+    limit_.on_finish(now, own_latency, success, static_cast<std::uint32_t>(running_.size()));
+    running_.erase(it);
+    shedding_.on_finish();
+    ++finished_;
+}
+
+bool admission_controller::cancel(std::uint64_t id)
+{
+    return queue_.remove(id);
+}
+
+void admission_controller::sweep(steady_time now)
+{
+    if (queue_.size() == 0 || now - last_sweep_ < sweep_interval) {
+        return;
+    }
+    last_sweep_ = now;
+    const auto half_service = from_seconds(mean_latency_ * least_service_part);
+    queue_.set_target_wait(std::clamp(half_service, options_.queue.target_wait,
+                                      std::max(options_.queue.target_wait, longest_target_wait)));
+    expired_.clear();
+    aged_.clear();
+    queue_.sweep(now, options_.deadline_aware ? half_service : duration{}, expired_, aged_);
+    for (const auto& e : expired_) {
+        shedding_.on_refusal();
+        pending_.refuse.push_back({e.id, refusal_reason::deadline});
+    }
+    for (const auto& e : aged_) {
+        shedding_.on_refusal();
+        pending_.refuse.push_back({e.id, refusal_reason::overload});
+    }
+}
+
+void admission_controller::start_waiting(steady_time now)
+{
+    while (running_.size() < limit() && queue_.size() > 0) {
+        const auto next = queue_.pop(now);
+        if (next->deadline <= now) {
+            shedding_.on_refusal();
+            pending_.refuse.push_back({next->id, refusal_reason::deadline});
+            continue;
+        }
+        start(next->id, now);
+        pending_.start.push_back(next->id);
+    }
+}
+
+const admission_events& admission_controller::poll(steady_time now)
+{
+    sweep(now);
+    if (state_ != target_state::down) {
+        start_waiting(now);
+    }
+    events_.start.clear();
+    events_.refuse.clear();
+    std::swap(events_, pending_);
+    return events_;
+}
+
+load_report admission_controller::load(steady_time now)
+{
+    load_report report;
+    report.in_flight = static_cast<std::uint32_t>(running_.size());
+    report.limit = limit();
+    report.queued = static_cast<std::uint32_t>(queue_.size());
+    report.estimated_wait = wait_for(importance::normal);
+    report.own = shedding_.level(now);
+    return report;
+}
+
+void admission_controller::set_target_state(target_state state, steady_time)
+{
+    if (state == state_) {
+        return;
+    }
+    if (state == target_state::down) {
+        for (const auto& e : queue_.clear()) {
+            pending_.refuse.push_back({e.id, refusal_reason::no_target});
+        }
+    }
+    if (state == target_state::cold) {
+        limit_.restart(static_cast<std::uint32_t>(options_.limit.initial * options_.cold_start));
+        mean_latency_ = 0;
+        finished_ = 0;
+    }
+    state_ = state;
+}
+
+void admission_controller::hint_capacity(std::uint32_t slots)
+{
+    if (finished_ == 0 && slots > 0) {
+        limit_.restart(slots);
+    }
+}
+
+} // namespace wagtailhatch
--- /dev/null
+++ b/src/admission/concurrency_limit.cpp
@@ -0,0 +1,120 @@
+#include "include/admission/concurrency_limit.h"
+
+#include <algorithm>
+
+namespace wagtailhatch {
+namespace {
+
+// Part of the latency expected to fall with a cut that must really fall for the cut to stand.
+constexpr double required_fall = 0.5;
+constexpr double smallest_cut_factor = 0.7;
+constexpr double growth = 0.1;
+// The lowest latency drifts towards the present one by this part a window, so it is forgotten in about a
+// minute.
+constexpr double forgetting = 0.002;
+constexpr double near_full = 0.9;
+// Requests admitted before a cut have mostly left after this many windows.
+constexpr std::uint32_t settle_windows = 2;
+
+double seconds(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+} // namespace
+
+concurrency_limit_options limit_options_for_slots(std::uint32_t slots)
+{
+    concurrency_limit_options options;
+    if (slots > 0) {
+        options.initial = slots;
+        options.maximum = slots;
+        options.floor = std::max(1U, slots / 8);
+    }
+    return options;
+}
+
+concurrency_limit::concurrency_limit(concurrency_limit_options options)
+    : options_{options}
+    , limit_{std::clamp(options.initial, options.floor, options.maximum)}
+{
+}
+
+void concurrency_limit::restart(std::uint32_t start)
+{
+    limit_ = std::clamp(start, options_.floor, options_.maximum);
+    lowest_ = 0;
+    cut_pending_ = false;
+    samples_ = 0;
+    latency_sum_ = 0;
+    peak_in_flight_ = 0;
+}
+
+void concurrency_limit::on_finish(steady_time now, duration own_latency, bool success,
+                                  std::uint32_t in_flight)
+{
+    if (samples_ == 0) {
+        window_start_ = std::max(window_start_, now - options_.window);
+    }
+    ++samples_;
+    failures_ += success ? 0 : 1;
+    latency_sum_ += std::max(0.0, seconds(own_latency));
+    peak_in_flight_ = std::max(peak_in_flight_, in_flight);
+    if (now - window_start_ >= options_.window && samples_ >= options_.min_samples) {
+        end_window(now);
+    }
+}
+
+void concurrency_limit::end_window(steady_time now)
+{
+    const double latency = latency_sum_ / samples_;
+    if (lowest_ <= 0 || latency < lowest_) {
+        lowest_ = latency;
+    }
+    else {
+        lowest_ += (latency - lowest_) * forgetting;
+    }
+    react(latency);
+    window_start_ = now;
+    latency_sum_ = 0;
+    samples_ = 0;
+    failures_ = 0;
+    peak_in_flight_ = 0;
+}
+
+bool concurrency_limit::verify_cut(double latency)
+{
+    const double cut = 1.0 - static_cast<double>(limit_) / limit_before_cut_;
+    const double fall = 1.0 - latency / latency_before_cut_;
+    cut_pending_ = false;
+    if (fall >= required_fall * cut) {
+        return true;
+    }
+    limit_ = limit_before_cut_;
+    lowest_ = latency;
+    return false;
+}
+
+void concurrency_limit::react(double latency)
+{
+    const bool full = peak_in_flight_ >= near_full * limit_;
+    if (cut_pending_ && (++windows_since_cut_ < settle_windows || !verify_cut(latency))) {
+        return;
+    }
+    const bool failing = failures_ * 2 > samples_;
+    const bool slow = latency > options_.tolerance * lowest_;
+    if (full && (slow || failing)) {
+        limit_before_cut_ = limit_;
+        latency_before_cut_ = latency;
+        windows_since_cut_ = 0;
+        const double factor = std::max(smallest_cut_factor, options_.tolerance * lowest_ / latency);
+        limit_ = std::max(options_.floor, static_cast<std::uint32_t>(limit_ * std::min(factor, 0.9)));
+        cut_pending_ = limit_ < limit_before_cut_;
+    }
+    else if (full) {
+        const auto step = std::max(1U, static_cast<std::uint32_t>(limit_ * growth));
+        limit_ = std::min(options_.maximum, limit_ + step);
+    }
+}
+
+} // namespace wagtailhatch
--- /dev/null
+++ b/src/routing/balancer.cpp
@@ -0,0 +1,209 @@
+#include "include/routing/balancer.h"
+
+#include <algorithm>
+
+namespace wagtailhatch {
+namespace {
+
+constexpr int max_draws = 8;
+// What another data centre must be better by, as utilisation: its round trip costs a little.
+constexpr double spill_margin = 0.05;
+// A suspect member counts as this much busier.
+constexpr double suspect_penalty = 0.5;
+constexpr std::size_t max_routes = 1000;
+
+} // namespace
+
+balancer::balancer(balancer_options options, random_source& random)
+    : options_{std::move(options)}
+    , random_{random}
+    , shedder_{options_.shedding, random}
+{
+}
+
+void balancer::set_members(std::span<const member> members, steady_time now)
+{
+    const bool first = entries_.empty();
+    std::vector<entry> next;
+    next.reserve(members.size());
+    for (const auto& m : members) {
+        const auto* known = find(m.id);
+        if (known != nullptr && known->info.incarnation == m.incarnation) {
+            next.push_back({m, known->view});
+        }
+        else {
+            next.push_back({m, target_view{options_.view, now, !first}});
+        }
+    }
+    entries_ = std::move(next);
+    by_id_.clear();
+    own_.clear();
+    others_.clear();
+    for (std::uint32_t i = 0; i < entries_.size(); ++i) {
+        const auto& m = entries_[i].info;
+        by_id_.emplace(m.id, i);
+        const bool own = !options_.prefer_own_data_centre || m.data_centre == options_.data_centre;
+        (own ? own_ : others_).push_back(i);
+    }
+}
+
+balancer::entry* balancer::find(std::string_view id)
+{
+    const auto it = by_id_.find(id);
+    return it == by_id_.end() ? nullptr : &entries_[it->second];
+}
+
+bool balancer::may_use(const entry& e, steady_time now, std::span<const std::string> exclude,
+                       bool ignore_ejection) const
+{
+    const bool live = e.info.state == member_state::ready || e.info.state == member_state::suspect;
+    if (!live || e.view.leaving() || (!ignore_ejection && e.view.ejected(now))) {
+        return false;
+    }
+    return std::find(exclude.begin(), exclude.end(), e.info.id) == exclude.end();
+}
+
+double balancer::score(const entry& e, steady_time now) const
+{
+    const double penalty = e.info.state == member_state::suspect ? suspect_penalty : 0;
+    return e.view.score(now, options_.use_reports, options_.slow_start) + penalty;
+}
+
+balancer::entry* balancer::scan(const std::vector<std::uint32_t>& from, steady_time now,
+                                std::span<const std::string> exclude, bool ignore_ejection)
+{
+    entry* best = nullptr;
+    for (const auto i : from) {
+        auto& e = entries_[i];
+        if (may_use(e, now, exclude, ignore_ejection) &&
+            (best == nullptr || score(e, now) < score(*best, now))) {
+            best = &e;
+        }
+    }
+    return best;
+}
+
+balancer::entry* balancer::choose(const std::vector<std::uint32_t>& from, steady_time now,
+                                  std::span<const std::string> exclude, bool ignore_ejection)
+{
+    entry* first = nullptr;
+    for (int draw = 0; draw < max_draws && !from.empty(); ++draw) {
+        auto& e = entries_[from[random_.below(from.size())]];
+        if (&e == first || !may_use(e, now, exclude, ignore_ejection)) {
+            continue;
+        }
+        if (first != nullptr) {
+            return score(e, now) < score(*first, now) ? &e : first;
+        }
+        first = &e;
+        if (!options_.two_choices || from.size() == 1) {
+            return first;
+        }
+    }
+    return first != nullptr ? first : scan(from, now, exclude, ignore_ejection);
+}
+
+balancer::entry* balancer::choose_any(steady_time now, std::span<const std::string> exclude,
+                                      bool ignore_ejection)
+{
+    auto* near = choose(own_, now, exclude, ignore_ejection);
+    if (near != nullptr && score(*near, now) < options_.spill_above) {
+        return near;
+    }
+    auto* far = choose(others_, now, exclude, ignore_ejection);
+    if (near == nullptr || far == nullptr) {
+        return near == nullptr ? far : near;
+    }
+    return score(*far, now) + spill_margin < score(*near, now) ? far : near;
+}
+
+pick_result balancer::pick(steady_time now, std::span<const std::string> exclude)
+{
+    const auto* chosen = choose_any(now, exclude, !options_.ejection);
+    if (chosen == nullptr) {
+        chosen = choose_any(now, exclude, true);
+    }
+    if (chosen != nullptr) {
+        return {&chosen->info, refusal_reason::none};
+    }
+    const bool leaving = std::any_of(entries_.begin(), entries_.end(), [](const entry& e) {
+        return e.view.leaving() || e.info.state == member_state::leaving;
+    });
+    return {nullptr, leaving ? refusal_reason::leaving : refusal_reason::no_target};
+}
+
+void balancer::on_sent(std::string_view id, steady_time)
+{
+    if (auto* e = find(id)) {
+        e->view.on_sent();
+    }
+}
+
+void balancer::on_answer(std::string_view id, const load_report& report, duration latency,
+                         std::string_view route, call_result result, steady_time now)
+{
+    if (auto* e = find(id)) {
+        e->view.on_answer(report, latency, result, now);
+    }
+    auto it = paths_.find(route);
+    if (it == paths_.end()) {
+        if (paths_.size() >= max_routes) {
+            paths_.clear();
+        }
+        it = paths_.emplace(std::string{route}, path_state{}).first;
+    }
+    it->second = {report.path, now};
+}
+
+bool balancer::may_eject(steady_time now) const
+{
+    const auto ejected = static_cast<std::size_t>(std::count_if(
+        entries_.begin(), entries_.end(), [now](const entry& e) { return e.view.ejected(now); }));
+    return (ejected + 1) * 2 <= entries_.size();
+}
+
+void balancer::on_failure(std::string_view id, call_failure failure, steady_time now)
+{
+    if (auto* e = find(id)) {
+        e->view.on_failure(failure, may_eject(now), now);
+    }
+}
+
+admit_level balancer::own_pressure(steady_time now) const
+{
+    double sum = 0;
+    double count = 0;
+    for (const auto& e : entries_) {
+        if (may_use(e, now, {}, false)) {
+            sum += e.view.own_level(now).value();
+            count += 1;
+        }
+    }
+    return count > 0 ? admit_level{sum / count} : admit_level{};
+}
+
+admit_level balancer::pressure(std::string_view route, steady_time now) const
+{
+    const auto it = paths_.find(route);
+    const auto own = own_pressure(now);
+    return it == paths_.end() ? own : min(own, aged_level(it->second.level, now - it->second.updated));
+}
+
+admit_level balancer::path_pressure(std::string_view route, steady_time now) const
+{
+    return paths_.contains(route) ? pressure(route, now) : admit_level{};
+}
+
+bool balancer::should_shed(std::string_view route, importance level, std::string_view workspace,
+                           steady_time now)
+{
+    return shedder_.should_shed(level, workspace, pressure(route, now), now);
+}
+
+std::size_t balancer::usable(steady_time now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        entries_.begin(), entries_.end(), [&](const entry& e) { return may_use(e, now, {}, false); }));
+}
+
+} // namespace wagtailhatch
--- /dev/null
+++ b/src/routing/target_view.cpp
@@ -0,0 +1,99 @@
+#include "include/routing/target_view.h"
+
+#include <algorithm>
+
+namespace wagtailhatch {
+namespace {
+
+constexpr double latency_smoothing = 0.1;
+// Limit assumed for a target that has not reported yet.
+constexpr double assumed_limit = 20;
+constexpr double first_weight = 0.2;
+constexpr std::uint32_t max_ejection_doublings = 8;
+// A level is believed unchanged for this long, and then relaxes by this much a second.
+constexpr double level_hold = 0.3;
+constexpr double level_relaxation = 4.0;
+
+double seconds(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+} // namespace
+
+admit_level aged_level(admit_level level, duration age)
+{
+    const double old = std::max(0.0, seconds(age) - level_hold);
+    return admit_level{level.value() + old * level_relaxation};
+}
+
+target_view::target_view(const target_view_options& options, steady_time now, bool is_new)
+    : options_{options}
+    , born_{now}
+    , is_new_{is_new}
+{
+}
+
+double target_view::start_weight(steady_time now) const
+{
+    if (!is_new_ || now - born_ >= options_.slow_start) {
+        return 1;
+    }
+    return first_weight + (1 - first_weight) * (seconds(now - born_) / seconds(options_.slow_start));
+}
+
+double target_view::score(steady_time now, bool use_reports, bool slow_start) const
+{
+    const double limit = report_.limit > 0 ? report_.limit : assumed_limit;
+    double load = outstanding_;
+    if (use_reports && reported(now)) {
+        load = std::max<double>(outstanding_,
+                                static_cast<double>(report_.in_flight) + report_.queued + sent_since_report_);
+    }
+    return (load + 1) / limit / (slow_start ? start_weight(now) : 1);
+}
+
+admit_level target_view::own_level(steady_time now) const
+{
+    return has_report_ ? aged_level(report_.own, now - report_time_) : admit_level{};
+}
+
+void target_view::on_answer(const load_report& report, duration latency, call_result result, steady_time now)
+{
+    outstanding_ -= outstanding_ > 0 ? 1 : 0;
+    report_ = report;
+    report_time_ = now;
+    has_report_ = true;
+    sent_since_report_ = 0;
+    timeouts_ = 0;
+    leaving_ = leaving_ || result == call_result::leaving;
+    if (result == call_result::answered) {
+        ejections_ = 0;
+        const double measured = seconds(latency);
+        latency_ = latency_ <= 0 ? measured : latency_ + (measured - latency_) * latency_smoothing;
+    }
+}
+
+void target_view::on_failure(call_failure failure, bool may_eject, steady_time now)
+{
+    outstanding_ -= outstanding_ > 0 ? 1 : 0;
+    if (failure == call_failure::cancelled) {
+        return;
+    }
+    timeouts_ += failure == call_failure::timeout ? 1 : 0;
+    const bool broken = failure == call_failure::not_reached || timeouts_ >= options_.timeouts_to_eject;
+    if (broken && may_eject && !ejected(now)) {
+        eject(now);
+    }
+}
+
+void target_view::eject(steady_time now)
+{
+    const auto doubled = options_.first_ejection * (1 << std::min(ejections_, max_ejection_doublings));
+    ejected_until_ = now + std::min<duration>(doubled, options_.max_ejection);
+    ++ejections_;
+    timeouts_ = 0;
+    has_report_ = false;
+}
+
+} // namespace wagtailhatch
