Test the overload decision modules

Found and corrected while writing them: the lowest latency was forgotten under standing load, so the limit crept to 236 for a target of 100 slots (now forgotten only while the limit is not used up); weights below the first one set were not taken into the round robin quantum; two draws could choose the same of two targets.

--- a/include/admission/concurrency_limit.h
+++ b/include/admission/concurrency_limit.h
@@ -38,6 +38,7 @@
     void end_window(steady_time now);
     void react(double latency);
     bool verify_cut(double latency);
+    bool full() const;
 
     concurrency_limit_options options_;
     std::uint32_t limit_;
--- a/include/routing/balancer.h
+++ b/include/routing/balancer.h
@@ -84,6 +84,8 @@
                  bool ignore_ejection) const;
     entry* choose(const std::vector<std::uint32_t>& from, steady_time now,
                   std::span<const std::string> exclude, bool ignore_ejection);
+    entry* choose_one(const std::vector<std::uint32_t>& from, steady_time now,
+                      std::span<const std::string> exclude, bool ignore_ejection);
     entry* scan(const std::vector<std::uint32_t>& from, steady_time now, std::span<const std::string> exclude,
                 bool ignore_ejection);
     entry* choose_any(steady_time now, std::span<const std::string> exclude, bool ignore_ejection);
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -71,7 +71,7 @@
     if (lowest_ <= 0 || latency < lowest_) {
         lowest_ = latency;
     }
-    else {
+    else if (!full()) {
         lowest_ += (latency - lowest_) * forgetting;
     }
     react(latency);
@@ -82,6 +82,11 @@
     peak_in_flight_ = 0;
 }
 
+bool concurrency_limit::full() const
+{
+    return peak_in_flight_ >= near_full * limit_;
+}
+
 bool concurrency_limit::verify_cut(double latency)
 {
     const double cut = 1.0 - static_cast<double>(limit_) / limit_before_cut_;
@@ -97,13 +102,12 @@
 
 void concurrency_limit::react(double latency)
 {
-    const bool full = peak_in_flight_ >= near_full * limit_;
     if (cut_pending_ && (++windows_since_cut_ < settle_windows || !verify_cut(latency))) {
         return;
     }
     const bool failing = failures_ * 2 > samples_;
     const bool slow = latency > options_.tolerance * lowest_;
-    if (full && (slow || failing)) {
+    if (full() && (slow || failing)) {
         limit_before_cut_ = limit_;
         latency_before_cut_ = latency;
         windows_since_cut_ = 0;
@@ -111,7 +115,7 @@
         limit_ = std::max(options_.floor, static_cast<std::uint32_t>(limit_ * std::min(factor, 0.9)));
         cut_pending_ = limit_ < limit_before_cut_;
     }
-    else if (full) {
+    else if (full()) {
         const auto step = std::max(1U, static_cast<std::uint32_t>(limit_ * growth));
         limit_ = std::min(options_.maximum, limit_ + step);
     }
--- a/src/admission/request_queue.cpp
+++ b/src/admission/request_queue.cpp
@@ -27,6 +27,7 @@
     }
     const auto index = static_cast<std::uint32_t>(weights_.size());
     weights_.push_back(1.0);
+    smallest_weight_ = std::min(smallest_weight_, 1.0);
     index_.emplace(std::string{workspace}, index);
     return index;
 }
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -86,21 +86,35 @@
 balancer::entry* balancer::choose(const std::vector<std::uint32_t>& from, steady_time now,
                                   std::span<const std::string> exclude, bool ignore_ejection)
 {
-    entry* first = nullptr;
+    if (from.size() < 2 || !options_.two_choices) {
+        return choose_one(from, now, exclude, ignore_ejection);
+    }
+    entry* single = nullptr;
+    for (int draw = 0; draw < max_draws; ++draw) {
+        const auto i = random_.below(from.size());
+        const auto j = random_.below(from.size() - 1);
+        auto* a = &entries_[from[i]];
+        auto* b = &entries_[from[j + (j >= i ? 1 : 0)]];
+        a = may_use(*a, now, exclude, ignore_ejection) ? a : nullptr;
+        b = may_use(*b, now, exclude, ignore_ejection) ? b : nullptr;
+        if (a != nullptr && b != nullptr) {
+            return score(*b, now) < score(*a, now) ? b : a;
+        }
+        single = a != nullptr ? a : (b != nullptr ? b : single);
+    }
+    return single != nullptr ? single : scan(from, now, exclude, ignore_ejection);
+}
+
+balancer::entry* balancer::choose_one(const std::vector<std::uint32_t>& from, steady_time now,
+                                      std::span<const std::string> exclude, bool ignore_ejection)
+{
     for (int draw = 0; draw < max_draws && !from.empty(); ++draw) {
         auto& e = entries_[from[random_.below(from.size())]];
-        if (&e == first || !may_use(e, now, exclude, ignore_ejection)) {
-            continue;
-        }
-        if (first != nullptr) {
-            return score(e, now) < score(*first, now) ? &e : first;
-        }
-        first = &e;
-        if (!options_.two_choices || from.size() == 1) {
-            return first;
+        if (may_use(e, now, exclude, ignore_ejection)) {
+            return &e;
         }
     }
-    return first != nullptr ? first : scan(from, now, exclude, ignore_ejection);
+    return scan(from, now, exclude, ignore_ejection);
 }
 
 balancer::entry* balancer::choose_any(steady_time now, std::span<const std::string> exclude,
--- /dev/null
+++ b/tests/admission/admission_controller_test.cpp
@@ -0,0 +1,155 @@
+#include "include/admission/admission_controller.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <map>
+#include <set>
+
+using namespace wagtailhatch;
+using namespace std::chrono_literals;
+using kind = admission_decision::kind;
+
+namespace {
+
+const steady_time start{1h};
+
+admission_controller make_controller(std::uint32_t slots)
+{
+    admission_options options;
+    options.limit = limit_options_for_slots(slots);
+    admission_controller controller{options};
+    controller.set_target_state(target_state::ready, start);
+    return controller;
+}
+
+admission_ticket ticket(std::uint64_t id, importance level = importance::normal)
+{
+    return {id, level, "w", start + 10s};
+}
+
+} // namespace
+
+// Guards against exceeding the target's slots and against leaving a freed slot idle.
+TEST_CASE("admission controller runs up to the limit and starts waiting requests when one finishes")
+{
+    auto controller = make_controller(2);
+    CHECK(controller.submit(ticket(1), start).what == kind::start);
+    CHECK(controller.submit(ticket(2), start).what == kind::start);
+    CHECK(controller.submit(ticket(3), start).what == kind::queued);
+    CHECK(controller.poll(start).start.empty());
+    controller.finish(1, 10ms, true, start + 10ms);
+    const auto& events = controller.poll(start + 10ms);
+    REQUIRE(events.start.size() == 1);
+    CHECK(events.start.front() == 3);
+    CHECK(controller.load(start).in_flight == 2);
+}
+
+// Guards against important work being refused while less important work waits.
+TEST_CASE("admission controller makes room for more important requests")
+{
+    auto controller = make_controller(1);
+    std::uint64_t id = 0;
+    while (controller.submit(ticket(++id, importance::low), start).what != kind::refused) {
+    }
+    CHECK(controller.submit(ticket(++id, importance::critical), start).what == kind::queued);
+    const auto& events = controller.poll(start);
+    REQUIRE(events.refuse.size() == 1);
+    CHECK(events.refuse.front().reason == refusal_reason::overload);
+}
+
+// Guards against work being started after its caller's deadline.
+TEST_CASE("admission controller refuses expired requests and those that would expire while waiting")
+{
+    auto controller = make_controller(1);
+    CHECK(controller.submit({1, importance::normal, "w", start}, start).reason == refusal_reason::deadline);
+    CHECK(controller.submit(ticket(2), start).what == kind::start);
+    controller.finish(2, 1s, true, start + 1s);
+    CHECK(controller.submit(ticket(3), start + 1s).what == kind::start);
+    const admission_ticket hasty{4, importance::normal, "w", start + 1500ms};
+    CHECK(controller.submit(hasty, start + 1s).reason == refusal_reason::overload);
+    const admission_ticket patient{5, importance::normal, "w", start + 4s};
+    CHECK(controller.submit(patient, start + 1s).what == kind::queued);
+    const auto& events = controller.poll(start + 5s);
+    REQUIRE(events.refuse.size() == 1);
+    CHECK(events.refuse.front().reason == refusal_reason::deadline);
+}
+
+// Guards against new work at an instance that leaves, and against losing what it already has.
+TEST_CASE("admission controller in drain refuses new requests and finishes the queued ones")
+{
+    auto controller = make_controller(1);
+    controller.submit(ticket(1), start);
+    controller.submit(ticket(2), start);
+    controller.set_target_state(target_state::draining, start);
+    CHECK(controller.submit(ticket(3), start).reason == refusal_reason::leaving);
+    controller.finish(1, 1ms, true, start);
+    CHECK(controller.poll(start).start == std::vector<std::uint64_t>{2});
+}
+
+// Guards against requests that wait for a target that is gone.
+TEST_CASE("admission controller refuses the queue when the target goes down")
+{
+    auto controller = make_controller(1);
+    controller.submit(ticket(1), start);
+    controller.submit(ticket(2), start);
+    controller.set_target_state(target_state::down, start);
+    const auto& events = controller.poll(start);
+    REQUIRE(events.refuse.size() == 1);
+    CHECK(events.refuse.front().id == 2);
+    CHECK(events.refuse.front().reason == refusal_reason::no_target);
+}
+
+// Guards against believing a target that reports more than the operators configured.
+TEST_CASE("admission controller keeps the configured maximum whatever the target reports")
+{
+    auto controller = make_controller(10);
+    controller.hint_capacity(100'000);
+    CHECK(controller.load(start).limit == 10);
+    controller.hint_capacity(0);
+    CHECK(controller.load(start).limit == 10);
+}
+
+// Guards against lost requests, double starts and exceeding the limit, whatever the order of events.
+TEST_CASE("admission controller decides every request exactly once")
+{
+    rc::prop("model of outstanding requests", [](const std::vector<std::uint8_t>& steps) {
+        auto controller = make_controller(5);
+        std::set<std::uint64_t> queued;
+        std::set<std::uint64_t> running;
+        steady_time now = start;
+        std::uint64_t next = 0;
+        for (const auto s : steps) {
+            now += std::chrono::milliseconds{s % 16};
+            if (s % 3 != 0) {
+                const auto id = next++;
+                const admission_ticket t{id, static_cast<importance>(s % 4), s % 5 == 0 ? "a" : "b",
+                                         now + std::chrono::milliseconds{s * 2}};
+                const auto what = controller.submit(t, now).what;
+                if (what != kind::refused) {
+                    (what == kind::start ? running : queued).insert(id);
+                }
+            }
+            else if (s % 2 == 0 && !running.empty()) {
+                controller.finish(*running.begin(), 20ms, s % 7 != 0, now);
+                running.erase(running.begin());
+            }
+            else if (!queued.empty()) {
+                RC_ASSERT(controller.cancel(*queued.begin()));
+                queued.erase(queued.begin());
+            }
+            const auto events = controller.poll(now);
+            for (const auto id : events.start) {
+                RC_ASSERT(queued.erase(id) == 1);
+                running.insert(id);
+            }
+            for (const auto& r : events.refuse) {
+                RC_ASSERT(queued.erase(r.id) == 1);
+            }
+            const auto load = controller.load(now);
+            RC_ASSERT(load.in_flight == running.size());
+            RC_ASSERT(load.queued == queued.size());
+            RC_ASSERT(running.size() <= 5);
+        }
+    });
+}
--- /dev/null
+++ b/tests/admission/request_queue_test.cpp
@@ -0,0 +1,135 @@
+#include "include/admission/request_queue.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <map>
+#include <set>
+
+using namespace wagtailhatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start{1h};
+
+queued_request request(std::uint64_t id, importance level = importance::normal, duration age = 0s)
+{
+    return {id, level, start + 10s, start - age};
+}
+
+} // namespace
+
+// Guards against a lower class starting before a higher one.
+TEST_CASE("request queue starts more important classes first")
+{
+    request_queue queue{{}};
+    queue.push(request(1, importance::low), "a");
+    queue.push(request(2, importance::critical), "a");
+    queue.push(request(3, importance::high), "a");
+    CHECK(queue.pop(start)->id == 2);
+    CHECK(queue.pop(start)->id == 3);
+    CHECK(queue.pop(start)->id == 1);
+    CHECK_FALSE(queue.pop(start));
+}
+
+// Guards against one workspace's backlog delaying another's few requests.
+TEST_CASE("request queue shares starts between workspaces by weight")
+{
+    request_queue queue{{}};
+    queue.set_weight("large", 3);
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        queue.push(request(i), "flood");
+        queue.push(request(1000 + i), "large");
+    }
+    queue.push(request(5000), "small");
+    std::map<std::uint64_t, int> served;
+    for (int i = 0; i < 41; ++i) {
+        ++served[queue.pop(start)->id / 1000];
+    }
+    CHECK(served[0] == 10);
+    CHECK(served[1] == 30);
+    CHECK(served[5] == 1);
+}
+
+// Guards against serving only requests whose callers have given up while a queue stands.
+TEST_CASE("request queue serves newest first and drops aged entries under a standing queue")
+{
+    request_queue queue{{}};
+    std::vector<queued_request> expired;
+    std::vector<queued_request> aged;
+    queue.push(request(1, importance::normal, 60ms), "a");
+    queue.push(request(2), "a");
+    queue.sweep(start, 0s, expired, aged);
+    CHECK_FALSE(queue.standing());
+    queue.sweep(start + 101ms, 0s, expired, aged);
+    CHECK(queue.standing(importance::normal));
+    REQUIRE(aged.size() == 2);
+    queue.push({3, importance::normal, start + 10s, start + 102ms}, "a");
+    queue.push({4, importance::normal, start + 10s, start + 103ms}, "a");
+    CHECK(queue.pop(start + 104ms)->id == 4);
+}
+
+// Guards against starting work that cannot finish in time.
+TEST_CASE("request queue drops entries that cannot finish by their deadline")
+{
+    request_queue queue{{}};
+    queue.push({1, importance::normal, start + 50ms, start}, "a");
+    queue.push({2, importance::normal, start + 500ms, start}, "a");
+    std::vector<queued_request> expired;
+    std::vector<queued_request> aged;
+    queue.sweep(start, 100ms, expired, aged);
+    REQUIRE(expired.size() == 1);
+    CHECK(expired.front().id == 1);
+    CHECK(queue.size() == 1);
+}
+
+// Guards against a flood pushing out requests of others, or low importance pushing out high.
+TEST_CASE("request queue evicts the least important class and the heaviest workspace")
+{
+    request_queue queue{{}};
+    queue.push(request(1, importance::low), "a");
+    queue.push(request(2, importance::normal), "flood");
+    queue.push(request(3, importance::normal), "flood");
+    CHECK(queue.evict_for(importance::critical, "b")->id == 1);
+    CHECK(queue.evict_for(importance::normal, "b")->id == 3);
+    CHECK_FALSE(queue.evict_for(importance::normal, "flood"));
+    CHECK_FALSE(queue.evict_for(importance::low, "b"));
+}
+
+// Guards against lost or doubled entries whatever the order of operations.
+TEST_CASE("request queue returns every entry exactly once")
+{
+    rc::prop("pushed ids leave once", [](const std::vector<std::uint8_t>& steps) {
+        request_queue queue{{}};
+        std::set<std::uint64_t> inside;
+        std::uint64_t next = 0;
+        steady_time now = start;
+        for (const auto s : steps) {
+            const auto level = static_cast<importance>(s / 4 % 4);
+            const std::string workspace{static_cast<char>('a' + s / 16 % 3)};
+            std::optional<queued_request> out;
+            now += 10ms;
+            if (s % 4 < 2) {
+                queue.push({next, level, now + std::chrono::milliseconds{s * 4}, now}, workspace);
+                inside.insert(next++);
+            }
+            else if (s % 4 == 2) {
+                out = queue.pop(now);
+            }
+            else {
+                out = queue.evict_for(level, workspace);
+            }
+            std::vector<queued_request> gone;
+            queue.sweep(now, 10ms, gone, gone);
+            if (out) {
+                gone.push_back(*out);
+            }
+            for (const auto& g : gone) {
+                RC_ASSERT(inside.erase(g.id) == 1);
+            }
+            RC_ASSERT(queue.size() == inside.size());
+        }
+        RC_ASSERT(queue.clear().size() == inside.size());
+    });
+}
--- /dev/null
+++ b/tests/routing/entry_shedder_test.cpp
@@ -0,0 +1,65 @@
+#include "include/routing/entry_shedder.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace wagtailhatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Sends per_window requests of each workspace in windows of 100 ms; returns the admitted part of each.
+std::map<std::string, double> admitted_parts(entry_shedder& shedder,
+                                             const std::map<std::string, int>& per_window, double level)
+{
+    steady_time now{1h};
+    std::map<std::string, double> admitted;
+    for (int window = 0; window < 200; ++window) {
+        now += 100ms;
+        for (const auto& [workspace, n] : per_window) {
+            for (int i = 0; i < n; ++i) {
+                const bool shed = shedder.should_shed(importance::normal, workspace, admit_level{level}, now);
+                admitted[workspace] += !shed && window >= 100 ? 1.0 / (n * 100) : 0;
+            }
+        }
+    }
+    return admitted;
+}
+
+} // namespace
+
+// Guards against a flooding workspace causing losses to those within their share.
+TEST_CASE("entry shedder takes from the workspace above its share")
+{
+    random_source random{1};
+    entry_shedder shedder{{}, random};
+    const auto parts = admitted_parts(shedder, {{"flood", 80}, {"a", 10}, {"b", 10}}, 2.5);
+    CHECK(parts.at("a") > 0.99);
+    CHECK(parts.at("b") > 0.99);
+    CHECK(parts.at("flood") == Approx(30.0 / 80).margin(0.05));
+}
+
+// Guards against equal shares for workspaces that pay for different rates.
+TEST_CASE("entry shedder divides by weight")
+{
+    random_source random{1};
+    entry_shedder shedder{{}, random};
+    shedder.set_weight("large", 3);
+    const auto parts = admitted_parts(shedder, {{"large", 40}, {"small", 40}}, 2.5);
+    CHECK(parts.at("large") == Approx(30.0 / 40).margin(0.05));
+    CHECK(parts.at("small") == Approx(10.0 / 40).margin(0.05));
+}
+
+// Guards against shedding important classes, or letting through those that are shed whole.
+TEST_CASE("entry shedder keeps to the classes")
+{
+    random_source random{1};
+    entry_shedder shedder{{}, random};
+    const steady_time now{1h};
+    for (int i = 0; i < 100; ++i) {
+        CHECK_FALSE(shedder.should_shed(importance::high, "a", admit_level{2.1}, now));
+        CHECK(shedder.should_shed(importance::low, "a", admit_level{2.1}, now));
+        CHECK_FALSE(shedder.should_shed(importance::low, "a", admit_level{}, now));
+    }
+}
