--- /dev/null
+++ b/include/config/key_index.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "include/config/configuration.h"
+#include "include/http/http_message.h"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace wagtailhatch {
+
+enum class key_status : std::uint8_t {
+    valid,
+    withdrawn,
+    unknown,
+    missing, ///< No key came with the request.
+};
+
+struct key_match {
+    key_status status = key_status::missing;
+    const workspace_config* workspace = nullptr; ///< Set if valid; lives as long as the index.
+};
+
+/// Finds the workspace of a presented key by its SHA-256. Immutable; any thread.
+class key_index {
+public:
+    explicit key_index(std::shared_ptr<const configuration> config);
+
+    /// Looks up the key itself, without its scheme.
+    key_match find(std::string_view key) const;
+
+    /// Takes the key from the one `Authorization: Bearer` header. No other header and no query parameter
+    /// counts; several Authorization headers or another scheme are an unknown key.
+    key_match find(const http_headers& headers) const;
+
+private:
+    using digest = std::array<std::uint8_t, 32>;
+    struct entry {
+        digest hash{};
+        const workspace_config* workspace = nullptr;
+        bool withdrawn = false;
+    };
+
+    std::shared_ptr<const configuration> config_;
+    std::vector<entry> entries_; ///< Sorted by hash.
+};
+
+} // namespace wagtailhatch
