--- /dev/null
+++ b/src/config/call_graph.cpp
@@ -0,0 +1,131 @@
+#include "src/config/call_graph.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace wagtailhatch {
+namespace {
+
+/// Depth-first search with an explicit stack: a file may name a chain of thousands of services.
+class call_walk {
+public:
+    call_walk(const call_graph& graph, const call_report& report)
+        : graph_{graph}
+        , report_{report}
+    {
+    }
+
+    /// Number of services in the longest chain from start.
+    std::size_t depth(const std::string& start)
+    {
+        if (depths_.count(start) == 0) {
+            visit(start);
+        }
+        return depths_.at(start);
+    }
+
+private:
+    struct frame {
+        std::string service;
+        std::size_t next = 0;
+        std::size_t deepest = 0;
+    };
+
+    const std::vector<called_service>& calls_of(const std::string& service) const
+    {
+        static const std::vector<called_service> none;
+        const auto found = graph_.calls.find(service);
+        return found == graph_.calls.end() ? none : found->second;
+    }
+
+    void report_cycle(const std::vector<frame>& path, const called_service& call)
+    {
+        const auto first =
+            std::find_if(path.begin(), path.end(), [&](const frame& f) { return f.service == call.name; });
+        std::string chain;
+        for (auto i = first; i != path.end(); ++i) {
+            chain += i->service + " -> ";
+        }
+        report_({call.line, call.column}, "the calls form a cycle: " + chain + call.name,
+                "remove one of these calls");
+    }
+
+    void visit(const std::string& start)
+    {
+        std::vector<frame> path{{start}};
+        open_.insert(start);
+        while (!path.empty()) {
+            auto& top = path.back();
+            const auto& calls = calls_of(top.service);
+            if (top.next == calls.size()) {
+                const auto depth = top.deepest + 1;
+                depths_[top.service] = depth;
+                open_.erase(top.service);
+                path.pop_back();
+                if (!path.empty()) {
+                    path.back().deepest = std::max(path.back().deepest, depth);
+                }
+                continue;
+            }
+            const auto& call = calls[top.next++];
+            if (graph_.places.count(call.name) == 0) {
+                continue;
+            }
+            if (open_.count(call.name) != 0) {
+                report_cycle(path, call);
+            }
+            else if (const auto known = depths_.find(call.name); known != depths_.end()) {
+                top.deepest = std::max(top.deepest, known->second);
+            }
+            else {
+                open_.insert(call.name);
+                path.push_back({call.name});
+            }
+        }
+    }
+
+    const call_graph& graph_;
+    const call_report& report_;
+    std::map<std::string, std::size_t> depths_;
+    std::set<std::string> open_;
+};
+
+} // namespace
+
+void check_call_graph(const call_graph& graph, std::size_t max_depth, const call_report& report)
+{
+    for (const auto& [service, calls] : graph.calls) {
+        std::set<std::string> seen;
+        for (const auto& call : calls) {
+            if (graph.places.count(call.name) == 0) {
+                report({call.line, call.column}, fmt::format("'{}' is not a service", call.name),
+                       "name one of 'services'");
+            }
+            else if (!seen.insert(call.name).second) {
+                report({call.line, call.column},
+                       fmt::format("'{}' is listed twice in the calls of '{}'", call.name, service),
+                       "list each service once");
+            }
+        }
+    }
+    call_walk walk{graph, report};
+    std::size_t deepest = 0;
+    std::string start;
+    for (const auto& [service, place] : graph.places) {
+        const auto depth = walk.depth(service);
+        if (depth > deepest) {
+            deepest = depth;
+            start = service;
+        }
+    }
+    if (deepest > max_depth) {
+        report(graph.places.at(start),
+               fmt::format("the calls from '{}' form a chain of {} services", start, deepest),
+               fmt::format("shorten it to {}", max_depth));
+    }
+}
+
+} // namespace wagtailhatch
--- /dev/null
+++ b/src/config/call_graph.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace wagtailhatch {
+
+struct call_place {
+    std::size_t line = 0;
+    std::size_t column = 0;
+};
+
+struct called_service {
+    std::string name;
+    std::size_t line = 0;
+    std::size_t column = 0;
+};
+
+struct call_graph {
+    std::map<std::string, call_place> places;
+    std::map<std::string, std::vector<called_service>> calls;
+};
+
+using call_report = std::function<void(const call_place&, std::string problem, std::string remedy)>;
+
+/// Reports calls to unknown services, repeated calls, every call that closes a cycle, and chains of more than
+/// max_depth services.
+void check_call_graph(const call_graph& graph, std::size_t max_depth, const call_report& report);
+
+} // namespace wagtailhatch
--- /dev/null
+++ b/src/config/route_reader.cpp
@@ -0,0 +1,150 @@
+#include "src/config/route_reader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace wagtailhatch {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::array<std::string_view, 7> methods{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
+constexpr std::array<std::string_view, 4> writing_methods{"POST", "PUT", "PATCH", "DELETE"};
+constexpr std::array<std::string_view, 5> idempotent_methods{"GET", "HEAD", "PUT", "DELETE", "OPTIONS"};
+constexpr std::size_t max_path = 1024;
+constexpr auto max_route_timeout = 100s;             ///< Below the HTTP server's bound for an answer.
+constexpr std::uint64_t max_route_body = 8ULL << 20; ///< The HTTP server's bound.
+
+template <std::size_t N>
+bool is_one_of(const std::array<std::string_view, N>& all, std::string_view value)
+{
+    return std::find(all.begin(), all.end(), value) != all.end();
+}
+
+/// Canonical spelling only, because requests are compared in their canonical spelling.
+bool valid_prefix(std::string_view path)
+{
+    if (path == "/") {
+        return true;
+    }
+    const auto allowed = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' ||
+               c == '_' || c == '~' || c == '-' || c == '/';
+    };
+    if (path.empty() || path.size() > max_path || path.front() != '/' || path.back() == '/' ||
+        !std::all_of(path.begin(), path.end(), allowed)) {
+        return false;
+    }
+    std::string closed{path};
+    closed += '/';
+    return closed.find("//") == closed.npos && closed.find("/./") == closed.npos &&
+           closed.find("/../") == closed.npos;
+}
+
+void read_target(field_reader& read, const yaml_tree& node, route_config& route)
+{
+    if (const auto* path = node.find("path")) {
+        if (auto text = read.text(*path, "path")) {
+            if (valid_prefix(*text)) {
+                route.path_prefix = std::move(*text);
+            }
+            else {
+                read.report(*path, fmt::format("'{}' is not valid for 'path'", *text),
+                            "write whole segments of letters, digits and . _ ~ - after '/', without a "
+                            "final '/', for example /labels/search");
+            }
+        }
+    }
+    if (const auto* method = node.find("method")) {
+        if (auto text = read.text(*method, "method")) {
+            if (is_one_of(methods, *text)) {
+                route.method = std::move(*text);
+            }
+            else {
+                read.report(
+                    *method, fmt::format("'{}' is not valid for 'method'", *text),
+                    fmt::format("write one of {}, or leave it out for any", fmt::join(methods, ", ")));
+            }
+        }
+    }
+    if (const auto* service = node.find("service")) {
+        route.service = read.name(*service, "a service").value_or("");
+    }
+}
+
+void read_importance(field_reader& read, const yaml_tree& node, route_config& route)
+{
+    const auto* level = node.find("importance");
+    const auto text = level == nullptr ? std::nullopt : read.text(*level, "importance");
+    if (!text) {
+        return;
+    }
+    if (const auto value = parse_importance(*text)) {
+        route.level = *value;
+    }
+    else {
+        read.report(*level, fmt::format("'{}' is not valid for 'importance'", *text),
+                    fmt::format("write one of {}", fmt::join(importance_names, ", ")));
+    }
+}
+
+void check_run_once(field_reader& read, const yaml_tree& node, const route_config& route)
+{
+    const auto& place = *node.find("run_once");
+    if (!is_one_of(writing_methods, route.method)) {
+        read.report(place,
+                    fmt::format("a run-once route cannot have the method {}",
+                                route.method.empty() ? "any" : route.method),
+                    fmt::format("write one of {} as 'method'", fmt::join(writing_methods, ", ")));
+    }
+    if (route.open) {
+        read.report(place, "a run-once route cannot be open, because a workspace answers for its requests",
+                    "remove 'open' or 'run_once'");
+    }
+    if (node.find("idempotent") != nullptr && route.idempotent) {
+        read.report(place, "a run-once route cannot be idempotent", "remove 'idempotent' or 'run_once'");
+    }
+}
+
+void read_rules(field_reader& read, const yaml_tree& node, route_config& route)
+{
+    const auto put_flag = [&](std::string_view field, bool& into) {
+        if (const auto* value = node.find(field)) {
+            into = read.boolean(*value, field).value_or(into);
+        }
+    };
+    route.idempotent = is_one_of(idempotent_methods, route.method);
+    put_flag("open", route.open);
+    put_flag("run_once", route.run_once);
+    put_flag("idempotent", route.idempotent);
+    if (route.run_once) {
+        check_run_once(read, node, route);
+        route.idempotent = false;
+    }
+    if (const auto* timeout = node.find("timeout")) {
+        route.timeout = read.time(*timeout, "timeout", 1ms, max_route_timeout).value_or(route.timeout);
+    }
+    if (const auto* size = node.find("max_body")) {
+        route.max_body = read.size(*size, "max_body", 0, max_route_body).value_or(route.max_body);
+    }
+}
+
+} // namespace
+
+route_config read_route(field_reader& read, const std::string& name, const yaml_tree& node)
+{
+    route_config route;
+    route.name = name;
+    if (read.check_fields(
+            node, "a route", {"path", "service"},
+            {"method", "importance", "open", "run_once", "idempotent", "timeout", "max_body"})) {
+        read_target(read, node, route);
+        read_importance(read, node, route);
+        read_rules(read, node, route);
+    }
+    return route;
+}
+
+} // namespace wagtailhatch
--- /dev/null
+++ b/src/config/route_reader.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "include/config/configuration.h"
+#include "src/config/field_reader.h"
+
+#include <string>
+
+namespace wagtailhatch {
+
+/// Reads one route. Fields that were reported as mistakes are left empty or at their default.
+route_config read_route(field_reader& read, const std::string& name, const yaml_tree& node);
+
+} // namespace wagtailhatch
