Hold the accepted configuration and its deltas

Cause: a node must only ever move to a higher version, and at the two-year size may spend 11 KB/s on all control traffic. Ruled out: sending whole changed documents (a base file of 200 KB at 0.4 changes/s is 80 KB/s a node). Change: a delta carries the bytes that each version replaced; every result is verified against the hashes in the head before anything changes.

--- a/include/config/config_state.h
+++ b/include/config/config_state.h
@@ -36,12 +36,18 @@
     std::string middle;
 };
 
-/// Leads a state of version `from` to `head`.
+/// What version `to` changed against version `to` - 1.
+struct config_step {
+    std::uint64_t to = 0;
+    std::vector<document_patch> patches;
+};
+
+/// Leads a state of version `from` to `head`: by whole texts, or by one step for each version between.
 struct config_delta {
     std::uint64_t from = 0;
     config_head head;
     std::map<std::string, std::string> full; ///< Whole texts, by document name.
-    std::vector<document_patch> patches;     ///< To be applied in order.
+    std::vector<config_step> steps;
 };
 
 enum class apply_result : std::uint8_t {
@@ -66,24 +72,18 @@
     apply_result apply(const config_head& head, const std::map<std::string, std::string>& texts);
     apply_result apply(const config_delta& delta);
 
-    /// The smallest known way from a version to the held one: patches while they are remembered, otherwise
+    /// The smallest known way from a version to the held one: the steps while they are remembered, otherwise
     /// the whole changed documents.
     config_delta delta_since(std::uint64_t version) const;
 
 private:
-    struct step {
-        std::uint64_t from = 0;
-        std::uint64_t to = 0;
-        std::size_t size = 0; ///< Bytes that a delta spends on the patches.
-        std::vector<document_patch> patches;
-    };
-
-    void remember_step(std::uint64_t from, const document_set& before);
+    apply_result commit(const config_head& head, document_set candidate, std::vector<config_step> steps);
+    void remember(std::vector<config_step> steps);
 
     config_head head_;
     document_set documents_;
-    std::deque<step> steps_; ///< Most recent last, without gaps.
-    std::size_t steps_size_ = 0;
+    std::deque<config_step> steps_; ///< Without gaps; the last leads to the held version.
+    std::size_t steps_size_ = 0;    ///< Bytes.
 };
 
 /// SHA-256 of a text as 64 lower-case hexadecimal digits.
@@ -95,4 +95,7 @@
 /// Fails if prefix and suffix do not fit the text.
 bool apply_patch(std::string& text, const document_patch& patch);
 
+/// The patches between two sets of documents. Removed documents need none.
+std::vector<document_patch> make_patches(const document_set& before, const document_set& after);
+
 } // namespace wagtailhatch
