--- a/src/node/call_message.cpp
+++ b/src/node/call_message.cpp
@@ -69,7 +69,7 @@
     bounded_output_archive ar{out};
     const auto remaining =
         count_of(std::chrono::duration_cast<std::chrono::microseconds>(m.context.deadline - now));
-    ar(m.service, m.context.workspace, static_cast<std::uint8_t>(m.context.level), remaining,
+    ar(m.service, m.route, m.context.workspace, static_cast<std::uint8_t>(m.context.level), remaining,
        m.context.retry_tokens, m.context.depth, m.context.run_once_key, m.context.fingerprint,
        m.context.trace, m.idempotent, m.first_attempt, m.request);
     return out;
@@ -82,7 +82,7 @@
         std::uint8_t level = 0;
         std::int64_t remaining = 0;
         bounded_input_archive ar{bytes};
-        ar(m.service, m.context.workspace, level, remaining, m.context.retry_tokens, m.context.depth,
+        ar(m.service, m.route, m.context.workspace, level, remaining, m.context.retry_tokens, m.context.depth,
            m.context.run_once_key, m.context.fingerprint, m.context.trace, m.idempotent, m.first_attempt,
            m.request);
         require_end(ar);
@@ -101,9 +101,9 @@
     std::string out;
     out.reserve(128 + r.response.body.size());
     bounded_output_archive ar{out};
-    ar(static_cast<std::uint8_t>(r.result), static_cast<std::uint8_t>(r.reason), r.final_refusal,
-       count_of(r.retry_after), r.retry_tokens, r.load.in_flight, r.load.limit, r.load.queued,
-       count_of(r.load.estimated_wait), r.load.shed_below, r.load.admit_fraction, r.load.leaving, r.response);
+    ar(static_cast<std::uint8_t>(r.result), static_cast<std::uint8_t>(r.reason), r.downstream_refused,
+       count_of(r.retry_after), r.retry_tokens, r.leaving, r.load.in_flight, r.load.limit, r.load.queued,
+       count_of(r.load.estimated_wait), r.load.own.value(), r.load.path.value(), r.response);
     return out;
 }
 
@@ -115,15 +115,19 @@
         std::uint8_t reason = 0;
         std::int64_t retry_after = 0;
         std::int64_t wait = 0;
+        double own = 0;
+        double path = 0;
         bounded_input_archive ar{bytes};
-        ar(kind, reason, r.final_refusal, retry_after, r.retry_tokens, r.load.in_flight, r.load.limit,
-           r.load.queued, wait, r.load.shed_below, r.load.admit_fraction, r.load.leaving, r.response);
+        ar(kind, reason, r.downstream_refused, retry_after, r.retry_tokens, r.leaving, r.load.in_flight,
+           r.load.limit, r.load.queued, wait, own, path, r.response);
         require_end(ar);
         r.result = checked_enum<outcome>(kind, outcome_names.size());
         r.reason = checked_enum<refusal_reason>(reason, refusal_reason_names.size());
         r.retry_after = std::chrono::milliseconds{std::clamp<std::int64_t>(retry_after, 0, 3'600'000)};
         r.load.estimated_wait =
-            std::chrono::microseconds{std::clamp<std::int64_t>(wait, 0, max_remaining_us)};
+            std::chrono::nanoseconds{std::clamp<std::int64_t>(wait, 0, max_remaining_us * 1000)};
+        r.load.own = admit_level{own};
+        r.load.path = admit_level{path};
         return r;
     }
     catch (const cereal::Exception& e) {
--- a/src/node/call_message.h
+++ b/src/node/call_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "include/admission/load_report.h"
 #include "include/core/call_context.h"
 #include "include/core/outcome.h"
 #include "include/core/result.h"
@@ -14,30 +15,21 @@
 /// A request as one node sends it to another. The deadline travels as remaining time.
 struct call_message {
     std::string service;
+    std::string route; ///< Of the entry; groups what the services further down admit.
     call_context context;
     bool idempotent = true;     ///< May be tried again after an unknown outcome.
     bool first_attempt = false; ///< The caller states that it never sent this run-once key before.
     http_request request;
 };
 
-/// Load of the instance that answers and of everything that it calls; see balancer.
-struct load_report {
-    std::uint32_t in_flight = 0;
-    std::uint32_t limit = 0;
-    std::uint32_t queued = 0;
-    std::chrono::microseconds estimated_wait{0};
-    std::uint8_t shed_below = 0; ///< Importance classes above this number are shed; 255: none.
-    float admit_fraction = 1;    ///< Of the class shed_below.
-    bool leaving = false;
-};
-
 /// The answer to a call_message.
 struct call_reply {
     outcome result = outcome::unknown;
     refusal_reason reason = refusal_reason::none;
-    bool final_refusal = false; ///< Refused deeper in the chain: senders above must not retry.
+    bool downstream_refused = false; ///< The target's answer follows from a refusal further down.
     std::chrono::milliseconds retry_after{0};
     std::uint32_t retry_tokens = 0; ///< Lent tokens that were not used.
+    bool leaving = false;           ///< The instance takes no new work.
     load_report load;
     http_response response; ///< Valid if result is answered.
 };
--- a/src/node/handle_table.h
+++ b/src/node/handle_table.h
@@ -1,22 +1,27 @@
 #pragma once
 
 #include "include/core/call_context.h"
+#include "include/retry/retry_tokens.h"
 
 #include <cstddef>
-#include <functional>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <vector>
 
 namespace wagtailhatch {
 
 /// What the node remembers of a request that its target is running. Outgoing calls of the target
 /// share it. Traffic thread only.
 struct active_call {
-    call_context context;             ///< retry_tokens is the pot that all outgoing calls share.
-    bool downstream_refused = false;  ///< A call below was refused; senders above must not retry.
-    std::uint64_t outgoing_calls = 0; ///< Numbers the calls, to derive their idempotency keys.
+    call_context context;
+    std::string route;                     ///< Entry route.
+    std::shared_ptr<retry_tokens> retries; ///< Shared by all outgoing calls.
+    bool downstream_refused = false;       ///< A call further down was refused.
+    std::uint64_t outgoing_calls = 0;      ///< Numbers the calls, to derive their idempotency keys.
+    std::uint32_t outgoing_active = 0;
+    steady_time outgoing_since{}; ///< When outgoing_active last rose from 0.
+    duration outgoing_time{};     ///< Time with at least one outgoing call.
 };
 
 /// Live handles of the requests in flight at this node's target. A handle is 128 random bits, so a
