--- a/src/node/call_server.cpp
+++ b/src/node/call_server.cpp
@@ -4,11 +4,11 @@
 #include "src/node/header_filter.h"
 #include "src/node/trace.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
-#include <xxhash.h>
-
 namespace wagtailhatch {
 
 struct call_server::served_call {
--- a/src/node/call_server.h
+++ b/src/node/call_server.h
@@ -29,9 +29,10 @@
 
     struct hooks {
         std::function<void(bool ready, bool draining)> target_changed;
-        std::function<void(const death_report&)> target_died;       ///< Tell the service's other nodes.
-        std::function<void(std::uint64_t fingerprint)> cleared;     ///< Tell the service's other nodes.
-        std::function<void(const call_context&, steady_time started, const call_reply&)> served; ///< For spans.
+        std::function<void(const death_report&)> target_died;   ///< Tell the service's other nodes.
+        std::function<void(std::uint64_t fingerprint)> cleared; ///< Tell the service's other nodes.
+        std::function<void(const call_context&, steady_time started, const call_reply&)>
+            served; ///< For spans.
     };
 
     call_server(asio::io_context& io, const clock& time, random_source& random, http_client& client,
--- a/src/node/caller_response.cpp
+++ b/src/node/caller_response.cpp
@@ -72,8 +72,7 @@
         response.headers.push_back({"Retry-After", retry_after_seconds(reply.retry_after)});
     }
     response.headers.push_back({"Content-Type", "text/plain"});
-    response.body =
-        std::string{to_string(reply.result)} + ": " + std::string{to_string(reply.reason)} + "\n";
+    response.body = std::string{to_string(reply.result)} + ": " + std::string{to_string(reply.reason)} + "\n";
     return response;
 }
 
--- a/src/node/target_link.cpp
+++ b/src/node/target_link.cpp
@@ -52,8 +52,8 @@
 result<target_link::change> target_link::announce(const target_announcement& a, steady_time now)
 {
     if (a.service != service_) {
-        return make_error(errc::invalid_argument, "target of service '" + a.service + "' beside a node of '" +
-                                                      service_ + "'");
+        return make_error(errc::invalid_argument,
+                          "target of service '" + a.service + "' beside a node of '" + service_ + "'");
     }
     change c;
     c.restarted = state_ != link_state::absent && a.address != address_;
--- a/src/node/target_link.h
+++ b/src/node/target_link.h
@@ -26,7 +26,10 @@
 /// The node's view of the target beside it, from its announcements and from failed calls. Pure; one thread.
 class target_link {
 public:
-    explicit target_link(std::string service) : service_{std::move(service)} {}
+    explicit target_link(std::string service)
+        : service_{std::move(service)}
+    {
+    }
 
     /// Result of an announcement for the rest of the node.
     struct change {
