Add the policy bench's simulator

Discrete-event driver with callers, targets and network delays around the real decision modules, both deployments at their sizes and a chain of five.

--- /dev/null
+++ b/bench/policy/simulation.cpp
@@ -0,0 +1,52 @@
+#include "bench/policy/simulation.h"
+
+#include "bench/policy/simulator.h"
+
+#include <algorithm>
+
+namespace wagtailhatch::bench {
+
+outcome_counts simulate(const sim_deployment& deployment, const scenario& what, const variant& policy,
+                        std::uint64_t seed)
+{
+    return simulator{deployment, what, policy, seed}.run();
+}
+
+namespace {
+
+// Below this many requests a bucket says nothing.
+constexpr std::uint32_t least_sample = 20;
+
+double whole_part(const tally& t)
+{
+    return t.sent < least_sample ? 1.0 : static_cast<double>(t.whole) / t.sent;
+}
+
+} // namespace
+
+double recovery_time(const outcome_counts& counts, const scenario& what)
+{
+    tally before;
+    const auto bucket_at = [](double t) {
+        return static_cast<std::size_t>(t / outcome_counts::bucket + 0.5);
+    };
+    for (auto i = bucket_at(1.0); i < bucket_at(what.warm_up - 0.5); ++i) {
+        before.sent += counts.buckets.at(i).sent;
+        before.whole += counts.buckets.at(i).whole;
+    }
+    const double wanted = 0.95 * whole_part(before);
+    double worst = 0;
+    for (int occurrence = 0; occurrence < 2; ++occurrence) {
+        const auto first = bucket_at(what.end_of(occurrence));
+        // The last second of the run is left out: its requests may be unanswered when the run ends.
+        const auto last = bucket_at(what.end_of(occurrence) + what.gap - (occurrence == 1 ? 1.0 : 0.0));
+        for (auto i = first; i < last; ++i) {
+            if (whole_part(counts.buckets.at(i)) < wanted) {
+                worst = std::max(worst, static_cast<double>(i + 1 - first) * outcome_counts::bucket);
+            }
+        }
+    }
+    return worst;
+}
+
+} // namespace wagtailhatch::bench
--- /dev/null
+++ b/bench/policy/simulator_callers.cpp
@@ -0,0 +1,168 @@
+#include "bench/policy/simulator.h"
+
+#include <cmath>
+
+namespace wagtailhatch::bench {
+namespace {
+
+constexpr double client_delay = 0.008;
+constexpr double attempt_timeout = 1.0; ///< Seconds, after which a caller sends again.
+constexpr double patience = 2.0;        ///< Seconds from the first attempt in which an answer is of use.
+constexpr double caller_backoff = 0.05; ///< Mean seconds before a caller sends again.
+constexpr index flooding_workspace = 2;
+
+} // namespace
+
+double simulator::workspace_rate(index workspace) const
+{
+    double factor = 1;
+    if (active()) {
+        const auto what = scenario_.what;
+        factor = what == trigger::surge || what == trigger::slow_and_surge ? 3 : factor;
+        // The critical part of surge_rest stays at its rate: draw_route() thins it out.
+        factor = what == trigger::surge_rest ? 3 : factor;
+        factor = what == trigger::flood && workspace == flooding_workspace ? 8 * 1.25 : factor;
+    }
+    return deployment_.base_rate * deployment_.workspaces[workspace] * factor;
+}
+
+std::uint8_t simulator::draw_route(index)
+{
+    double x = random_.unit();
+    for (std::size_t i = 0; i < deployment_.routes.size(); ++i) {
+        x -= deployment_.routes[i].part;
+        if (x < 0) {
+            return static_cast<std::uint8_t>(i);
+        }
+    }
+    return static_cast<std::uint8_t>(deployment_.routes.size() - 1);
+}
+
+void simulator::on_arrival(index workspace)
+{
+    push(-std::log(1 - random_.unit()) / workspace_rate(workspace),
+         {.kind = event_kind::arrival, .a = workspace});
+    caller_request r;
+    r.first_sent = seconds();
+    r.workspace = static_cast<std::uint8_t>(workspace);
+    r.route = draw_route(workspace);
+    if (scenario_.what == trigger::surge_rest && active() && route_of(r).level == importance::critical &&
+        random_.unit() * 3 > 1) {
+        return;
+    }
+    const auto id = static_cast<index>(requests_.size());
+    requests_.push_back(r);
+    auto& bucket = counts_.buckets[static_cast<std::size_t>(seconds() / outcome_counts::bucket)];
+    ++bucket.sent;
+    if (in_trigger(seconds())) {
+        ++counts_.by_level[static_cast<std::size_t>(route_of(r).level)].sent;
+        ++counts_.by_workspace[workspace].sent;
+    }
+    counts_.bottleneck_requests += route_of(r).path.back() == deployment_.bottleneck ? 1 : 0;
+    start_attempt(id);
+}
+
+void simulator::start_attempt(index request)
+{
+    auto& r = requests_[request];
+    ++r.attempts;
+    r.open = true;
+    r.root = no_index;
+    push(client_delay, {.kind = event_kind::attempt, .a = request});
+    push(attempt_timeout, {.kind = event_kind::attempt_over, .a = request, .b = r.attempts});
+}
+
+void simulator::on_attempt(index request)
+{
+    const auto entry = static_cast<index>(random_.below(servers_.size()));
+    auto& r = requests_[request];
+    if (policy_.quota && !quotas_[r.workspace]->admit(seconds())) {
+        reply(request, false);
+        return;
+    }
+    auto& node = servers_[entry];
+    auto& front = *node.balancers[static_cast<std::size_t>(route_of(r).path.front())];
+    if (policy_.entry_shedding &&
+        front.should_shed(route_of(r).name, level_of(r), workspace_names_[r.workspace], now())) {
+        count_first_refusal(request);
+        reply(request, false);
+        return;
+    }
+    const auto c = new_call(request, 0, no_index, entry);
+    auto& root = calls_[c];
+    root.deadline = now_ + std::llround((attempt_timeout - 2 * client_delay) * 1e9);
+    r.root = c;
+    r.tokens = retry_tokens{policy_.retry_tokens};
+    node.throttle.on_first_attempt();
+    send(c);
+}
+
+void simulator::count_first_refusal(index request)
+{
+    const auto& r = requests_[request];
+    if (r.attempts == 1 && in_trigger(r.first_sent)) {
+        ++counts_.by_workspace[r.workspace].refused;
+    }
+}
+
+void simulator::reply(index request, bool whole)
+{
+    push(client_delay, {.kind = event_kind::reply,
+                        .c = static_cast<std::uint8_t>(whole ? 1 : 0),
+                        .a = request,
+                        .b = requests_[request].attempts});
+}
+
+void simulator::on_attempt_over(index request, index attempt)
+{
+    auto& r = requests_[request];
+    if (r.over || !r.open || r.attempts != attempt) {
+        return;
+    }
+    if (r.root != no_index) {
+        const auto root = r.root;
+        r.root = no_index;
+        if (policy_.propagate_deadline) {
+            cancel(root, true);
+        }
+        else {
+            calls_[root].detached = true;
+        }
+    }
+    on_reply(request, attempt, false);
+}
+
+void simulator::on_reply(index request, index attempt, bool whole)
+{
+    auto& r = requests_[request];
+    if (r.over || !r.open || r.attempts != attempt) {
+        return;
+    }
+    r.open = false;
+    const double age = seconds() - r.first_sent;
+    if (whole) {
+        r.over = true;
+        if (age > patience) {
+            return;
+        }
+        ++counts_.buckets[static_cast<std::size_t>(r.first_sent / outcome_counts::bucket)].whole;
+        if (in_trigger(r.first_sent)) {
+            ++counts_.by_level[static_cast<std::size_t>(route_of(r).level)].whole;
+            ++counts_.by_workspace[r.workspace].whole;
+        }
+        // The first second is left out: it is the way into the overload, not the overload.
+        if (in_trigger(seconds()) && in_trigger(seconds() - 1)) {
+            for (const auto s : route_of(r).path) {
+                counts_.goodput += s == deployment_.bottleneck ? 1 : 0;
+            }
+        }
+        return;
+    }
+    if (r.attempts > scenario_.caller_retries || age >= patience) {
+        r.over = true;
+        return;
+    }
+    push(caller_backoff * (0.5 + random_.unit()), {.kind = event_kind::again, .a = request});
+}
+
+} // namespace wagtailhatch::bench
--- /dev/null
+++ b/bench/policy/world.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "bench/policy/quota.h"
+#include "bench/policy/simulation.h"
+#include "include/admission/crash_quarantine.h"
+#include "include/retry/retry_throttle.h"
+#include "include/retry/retry_tokens.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+
+namespace wagtailhatch::bench {
+
+using index = std::uint32_t;
+constexpr index no_index = ~index{0};
+
+enum class event_kind : std::uint8_t {
+    arrival,      ///< a: workspace.
+    attempt,      ///< a: request. The caller's attempt reaches its entry node.
+    again,        ///< a: request. The caller sends it again.
+    attempt_over, ///< a: request, b: attempt. The caller's time-out.
+    reply,        ///< a: request, b: attempt; c: 1 whole, 0 refused or failed.
+    deliver,      ///< a: call. Reaches the target's node.
+    work_done,    ///< a: call.
+    answer,       ///< a: call. Reaches the sender.
+    hop_timeout,  ///< a: call.
+    tick,         ///< a: server.
+    crash,        ///< a: call.
+    change,       ///< a: server, b: server_change.
+};
+
+enum class server_change : std::uint8_t {
+    slow,
+    normal_speed,
+    freeze,
+    thaw,
+    kill,
+    revive_cold,
+    replace_cold,
+    warm,
+    poison
+};
+
+struct event {
+    std::int64_t time = 0; ///< Nanoseconds.
+    std::uint64_t order = 0;
+    event_kind kind = event_kind::tick;
+    std::uint8_t c = 0;
+    index a = 0;
+    index b = 0;
+    std::uint32_t generation = 0; ///< Of the call; older events are void.
+
+    bool operator<(const event& other) const
+    {
+        return time != other.time ? time > other.time : order > other.order;
+    }
+};
+
+struct caller_request {
+    double first_sent = 0;
+    std::uint8_t workspace = 0;
+    std::uint8_t route = 0;
+    std::uint8_t attempts = 0;
+    bool over = false;
+    bool open = false; ///< The present attempt has no reply yet.
+    bool poison = false;
+    index root = no_index; ///< Call of the present attempt.
+    retry_tokens tokens{0};
+};
+
+enum class call_state : std::uint8_t { free, sent, queued, running, answered };
+
+struct call {
+    std::uint32_t generation = 0;
+    call_state state = call_state::free;
+    call_result result = call_result::answered;
+    bool final = false;    ///< Failed further down: not to be retried above.
+    bool lost = false;     ///< Connection lost.
+    bool detached = false; ///< The sender no longer waits.
+    bool working = false;  ///< Has a service slot.
+    std::uint8_t hop = 0;
+    std::uint8_t tries = 0;
+    index request = no_index;
+    std::uint32_t attempt = 0;
+    index parent = no_index;
+    index child = no_index;
+    index sender = no_index; ///< Server whose node sent it.
+    index server = no_index;
+    std::int64_t sent = 0;
+    std::int64_t started = 0;
+    std::int64_t child_started = 0;
+    std::int64_t in_children = 0;
+    std::int64_t deadline = 0;
+    retry_tokens tokens{0};
+    retry_tokens::loan_id loan = 0;
+    std::uint32_t returned_tokens = 0;
+    load_report report;
+    std::vector<std::string> tried;
+};
+
+/// One server: the target, and the node beside it with the modules under test.
+struct server {
+    int service = 0;
+    int data_centre = 0;
+    std::string id;
+    std::uint64_t incarnation = 1;
+    bool up = true;
+    bool ticking = false;
+    double slowness = 1;
+    double cold_since = -1;
+    std::uint32_t busy = 0;
+    std::deque<std::pair<index, std::uint32_t>> backlog; ///< Inside the target.
+    std::vector<index> in_target;
+    std::unique_ptr<admission_controller> admission;
+    std::vector<std::unique_ptr<balancer>> balancers; ///< By service.
+    retry_throttle throttle{{}};
+    crash_quarantine quarantine{{}};
+    std::optional<load_report> frozen;
+};
+
+} // namespace wagtailhatch::bench
