Add slot pairs, mints, wallets, run-once homes and their message routing

Cause: the promises on rate and at-most-once need an owner and a partner for each slot. Ruled out: leases in the table (everything stops while it is away) and confirmations by configuration version alone: a data centre that skips a version could keep its old share while another one raises, so divisions are compared by a stamp of weights and homes, at a version not below the one that brought it.

--- a/include/config/configuration.h
+++ b/include/config/configuration.h
@@ -50,6 +50,7 @@
 struct data_centre_config {
     std::string name;
     double weight = 1; ///< Its part of each workspace's rate and burst, relative to the others.
+    bool lost = false; ///< Its instances no longer run; it does not confirm re-weighting.
 };
 
 /// The operators' accepted configuration as one data centre sees it. Immutable once published.
--- a/include/ownership/run_once_home.h
+++ b/include/ownership/run_once_home.h
@@ -28,6 +28,7 @@
 
 struct run_once_options {
     std::chrono::seconds memory{24 * 3600};
+    std::chrono::milliseconds most_start{1000}; ///< Wait for the partner's acknowledgement; then not run.
     std::size_t most_claims = 200'000;
     std::size_t most_answer = std::size_t{64} << 10;  ///< Bytes of one kept answer.
     std::size_t most_answers = std::size_t{32} << 20; ///< Bytes of all kept answers of a slot.
@@ -44,7 +45,10 @@
 
     /// Claims a key. A repeat gets the outcome, waiting for it until deadline. The claim is with the partner
     /// before the verdict `run`.
-    void begin(const std::string& key, bool first_attempt, steady_time deadline, begun done);
+    /// A key that is not in memory runs if the caller states that it never sent it, or if every earlier claim
+    /// is known here: history_known, and no loss within the memory time.
+    void begin(const std::string& key, bool first_attempt, bool history_known, steady_time deadline,
+               begun done);
     void finished(const std::string& key, std::string answer);
     /// Provably no byte reached a target: releases the key.
     void not_run(const std::string& key);
@@ -66,6 +70,8 @@
 
     std::size_t size() const { return claims_.size(); }
     bool history_lost() const;
+    /// Changes when this node stops being the owner: outcomes of runs begun before are not for these claims.
+    std::uint64_t tenure() const { return tenure_; }
     std::optional<claim_state> state(const std::string& key) const;
 
 private:
@@ -78,13 +84,16 @@
         bool has_answer = false;
         std::string answer;
         steady_time changed{};
+        std::uint64_t generation = 0; ///< Tells a claim from a later one on the same key.
+        begun start;                  ///< While the partner has not acknowledged the claim.
+        steady_time start_by{};
         std::vector<waiter> waiting;
         std::list<std::string>::iterator order;
     };
     claim& put(const std::string& key, claim_state state, steady_time changed);
     void erase(const std::string& key);
-    void end_waiting(claim& c, claim_verdict verdict, const std::string& answer);
-    void set_state(const std::string& key, claim_state state);
+    static void end_waiting(claim& c, claim_verdict verdict, const std::string& answer);
+    void claimed(const std::string& key, std::uint64_t generation, bool copied);
 
     run_once_options options_;
     const clock& clock_;
@@ -93,6 +102,9 @@
     std::list<std::string> order_; ///< Least recently changed first.
     std::optional<steady_time> lost_at_;
     std::size_t answer_bytes_ = 0;
+    std::uint64_t generation_ = 0;
+    std::uint64_t tenure_ = 0;
+    std::vector<std::string> waited_for_; ///< Keys that may have waiting or starting calls.
 };
 
 } // namespace wagtailhatch
--- a/include/ownership/slot_ownership.h
+++ b/include/ownership/slot_ownership.h
@@ -93,6 +93,7 @@
 private:
     struct slot_entry {
         slot_row row;
+        slot_row attempted; ///< Last row that was written or tried.
         slot_role role = slot_role::none;
         bool synced = false;   ///< Owner: partner has all state. Partner: holds the owner's whole state.
         bool sealed = false;   ///< A write is on its way: acknowledge nothing, act on nothing.
--- a/include/ownership/slot_pair_channel.h
+++ b/include/ownership/slot_pair_channel.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace wagtailhatch {
@@ -38,7 +39,7 @@
     using acknowledged = std::function<void(bool)>;
 
     slot_pair_channel(pair_channel_options options, slot_ownership& ownership, replica_state& state,
-                      message_sender& sender, const clock& time);
+                      message_sender& sender);
     ~slot_pair_channel();
     slot_pair_channel(const slot_pair_channel&) = delete;
     slot_pair_channel& operator=(const slot_pair_channel&) = delete;
@@ -55,7 +56,7 @@
     void append(std::uint32_t slot, std::string record, acknowledged done);
 
     /// Partner's side: applies a batch and returns the answer.
-    std::string handle(const std::string& payload);
+    std::string handle(std::string_view body);
 
     /// Sends again what is due.
     void tick();
@@ -73,6 +74,7 @@
     struct part {
         std::string payload;
         std::vector<acknowledged> done;
+        bool last_of_state = false;
     };
     struct outgoing {
         std::uint64_t epoch = 0;
@@ -88,9 +90,11 @@
     struct incoming {
         std::uint64_t epoch = 0;
         std::uint64_t expected = 1;
-        bool complete = false;
     };
 
+    static std::vector<acknowledged> take_pending(outgoing& out);
+    bool take_in(std::uint32_t slot, std::uint64_t epoch, std::uint64_t number, std::uint8_t flags,
+                 const std::vector<std::string>& records);
     void pump(std::uint32_t slot);
     void fill(std::uint32_t slot, outgoing& out);
     void send(std::uint32_t slot, outgoing& out);
@@ -101,7 +105,6 @@
     slot_ownership& ownership_;
     replica_state& state_;
     message_sender& sender_;
-    const clock& clock_;
     std::map<std::uint32_t, outgoing> out_;
     std::map<std::uint32_t, incoming> in_;
     std::uint64_t batches_ = 0;
--- a/include/ownership/slot_service.h
+++ b/include/ownership/slot_service.h
@@ -5,13 +5,17 @@
 #include "include/ownership/run_once_home.h"
 #include "include/ownership/slot_ownership.h"
 #include "include/ownership/slot_pair_channel.h"
+#include "include/quota/share_gate.h"
+#include "include/quota/token_mint.h"
 #include "include/quota/token_wallet.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace wagtailhatch {
@@ -99,9 +103,28 @@
     std::string home_of(const std::string& workspace) const;
 
 private:
-    struct slot_state;
-    struct remote_map;
-    using row_found = std::function<void(const slot_row*)>;
+    /// What the pair keeps for one slot.
+    struct slot_state {
+        std::map<std::string, mint_copy> copies; ///< As partner, or inherited and not used yet.
+        std::map<std::string, token_mint> mints; ///< As owner.
+        std::unique_ptr<run_once_home> claims;
+        share_gate::record gate_record; ///< version 0: none.
+        std::unique_ptr<share_gate> gate;
+        bool gate_copied = false;                 ///< The partner holds the present gate record.
+        std::map<std::string, steady_time> moved; ///< Workspaces whose home came here, and when.
+        std::optional<steady_time> lost_at;       ///< History of the mints was lost then.
+        steady_time next_confirm{};
+        duration confirm_retry{};
+    };
+    /// Rows of another data centre, as its nodes reported them.
+    struct remote_map {
+        std::vector<node_ref> members;
+        std::map<std::uint32_t, slot_row> rows;
+        std::vector<std::function<void()>> waiting;
+        bool fetching = false;
+    };
+    using found_row = std::function<void(const slot_row*)>;
+    struct pending_order;
 
     void on_become_owner(std::uint32_t slot, std::uint64_t epoch, bool had_history) override;
     void on_become_partner(std::uint32_t slot, std::uint64_t epoch) override;
@@ -120,6 +143,41 @@
                 std::uint64_t grant, std::uint32_t spent, std::uint32_t returned) override;
 
     slot_state& state(std::uint32_t slot);
+    const std::string& own_data_centre() const { return options_.ownership.data_centre; }
+    bool acting(std::uint32_t slot, std::uint64_t epoch) const { return ownership_.may_act(slot, epoch); }
+    void send(const node_ref& to, channel c, std::string payload, duration timeout,
+              std::function<void(peer_reply)> done);
+
+    void find_row(const std::string& data_centre, std::uint32_t slot, found_row done);
+    void fetch_map(const std::string& data_centre, std::function<void()> done);
+    void learn(const std::string& data_centre, std::uint32_t slot, const slot_row& row);
+    void forget(const std::string& data_centre, std::uint32_t slot);
+    void learn_from(const std::string& data_centre, std::uint32_t slot, const std::string& row_text);
+    std::string not_here(std::uint32_t slot) const;
+    std::string handle_map(std::string_view body) const;
+    void compare_maps();
+
+    void ask_mint(const std::string& workspace, const std::string& data_centre, std::uint32_t need,
+                  std::uint32_t wish, int tries, std::function<void(const mint_answer&)> done);
+    void handle_take(std::string_view body, const reply& respond);
+    void handle_settle(std::string_view body);
+    token_mint* mint_for(std::uint32_t slot, const std::string& workspace);
+    void grant_copied(std::uint32_t slot, std::uint64_t epoch, const std::string& workspace,
+                      const token_mint::grant& g, bool copied, const reply& respond);
+
+    void adopt_configuration(std::uint32_t slot);
+    void note_moved(std::uint32_t slot);
+    void ask_confirmations(std::uint32_t slot);
+    void ask_confirmation(std::uint32_t slot, const std::string& data_centre);
+    void check_never_owned(std::uint32_t slot, const std::string& data_centre);
+    void handle_confirm(std::string_view body, const reply& respond);
+
+    void attempt_order(const std::shared_ptr<pending_order>& order);
+    void order_answered(const std::shared_ptr<pending_order>& order, const peer_reply& r);
+    void handle_order(std::string_view body, const reply& respond);
+    void run_claimed(std::uint32_t slot, const std::string& key, const run_once_order& order,
+                     steady_time deadline, const reply& respond);
+
     slot_service_options options_;
     message_sender& sender_;
     const clock& clock_;
@@ -127,11 +185,12 @@
     table_service& table_;
     runner runner_;
     std::shared_ptr<const configuration> config_;
+    std::map<std::string, steady_time> moved_; ///< Seen by this node, whatever its part.
     slot_ownership ownership_;
     slot_pair_channel pairs_;
     token_wallet wallet_;
     std::map<std::uint32_t, std::unique_ptr<slot_state>> states_;
-    std::map<std::string, std::unique_ptr<remote_map>> remote_;
+    std::map<std::string, remote_map> remote_;
     steady_time next_compare_{};
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/include/quota/token_wallet.h
+++ b/include/quota/token_wallet.h
@@ -16,6 +16,7 @@
 
 /// Answer of a mint.
 struct mint_answer {
+    bool busy = false;       ///< If not reachable: the mint's owner answered, but cannot mint yet.
     bool reachable = false;  ///< False: no mint answered for this data centre.
     std::uint64_t epoch = 0; ///< Of the mint's slot; goes back with the report.
     std::uint64_t grant = 0; ///< 0: nothing granted.
@@ -29,7 +30,7 @@
 class mint_client {
 public:
     virtual ~mint_client() = default;
-    /// Completes exactly once, at the latest after a bounded time, never inside this call or inside it.
+    /// Completes exactly once, within a bounded time; may complete inside this call.
     virtual void ask(const std::string& workspace, const std::string& data_centre, std::uint32_t need,
                      std::uint32_t wish, std::function<void(const mint_answer&)> done) = 0;
     /// Best effort; a lost report only delays the mint.
@@ -86,33 +87,38 @@
     };
     struct known_mint {
         double fill = 1; ///< Part of the burst left, when last heard of.
-        bool reachable = true;
+        steady_time unreachable_until{};
     };
     struct round {
         std::vector<std::string> left; ///< Data centres not asked yet in this round.
-        duration shortest_wait = duration::max();
+        std::size_t members = 0;       ///< Takes at the front of the queue that waited when the round began.
+        duration shortest_wait = std::chrono::seconds{60};
         bool reached = false;
     };
+    struct question {
+        std::string data_centre;
+        steady_time asked;
+        std::uint32_t need;
+    };
     struct account {
         std::deque<held> grants;
         std::deque<taken> waiting;
         std::map<std::string, known_mint> mints;
         bool asking = false;
-        std::uint32_t used = 0; ///< Takes since the last tick that counted.
+        std::uint32_t used = 0; ///< Takes since used_since.
         steady_time used_since{};
         double usage = 0; ///< Takes per keep_unused, smoothed.
     };
 
     bool spend(const std::string& workspace, account& a);
     void drop_expired(const std::string& workspace, account& a);
-    void report(const std::string& workspace, const held& h, std::uint32_t returned);
+    void report(const std::string& workspace, const held& h);
     void start_round(const std::string& workspace, account& a);
     void ask_next(const std::string& workspace, const std::shared_ptr<round>& r);
-    void answered(const std::string& workspace, const std::shared_ptr<round>& r,
-                  const std::string& data_centre, steady_time asked, const mint_answer& answer);
-    void refuse_waiting(account& a, const round& r);
+    void answered(const std::string& workspace, const std::shared_ptr<round>& r, const question& q,
+                  const mint_answer& answer);
+    void refuse_waiting(const std::string& workspace, account& a, const round& r);
     std::string next_mint(account& a, round& r) const;
-    void count_use(account& a);
 
     token_wallet_options options_;
     mint_client& mints_;
