--- a/src/config/base_parser.cpp
+++ b/src/config/base_parser.cpp
@@ -55,9 +55,7 @@
     void parse_limits(const yaml_tree& root)
     {
         auto& c = base_.content;
-        with(root, "made_on", [&](const yaml_tree& node) {
-            base_.made_on = read_.integer(node, "made_on", 0, UINT64_MAX).value_or(0);
-        });
+        base_.made_on = read_.made_on(root);
         with(root, "slots_per_data_centre", [&](const yaml_tree& node) {
             c.slots_per_data_centre =
                 static_cast<std::uint32_t>(read_.integer(node, "slots_per_data_centre", 1, 1024).value_or(8));
--- a/src/config/change_record.cpp
+++ b/src/config/change_record.cpp
@@ -26,7 +26,11 @@
                {"previous", record.previous},
                {"id", record.id},
                {"author", record.author},
-               {"documents", record.documents}};
+               {"documents", json::array()}};
+    for (const auto& document : record.documents) {
+        value["documents"].push_back(
+            {{"name", document.name}, {"before", document.before}, {"after", document.after}});
+    }
     if (record.has_patches) {
         auto& patches = value["patches"] = json::array();
         for (const auto& patch : record.patches) {
@@ -48,7 +52,11 @@
         record.previous = value.at("previous").get<std::string>();
         record.id = value.at("id").get<std::string>();
         record.author = value.at("author").get<std::string>();
-        record.documents = value.at("documents").get<std::vector<std::string>>();
+        for (const auto& document : value.at("documents")) {
+            record.documents.push_back({document.at("name").get<std::string>(),
+                                        document.at("before").get<std::string>(),
+                                        document.at("after").get<std::string>()});
+        }
         record.has_patches = value.contains("patches");
         if (record.has_patches) {
             for (const auto& patch : value.at("patches")) {
--- /dev/null
+++ b/src/config/document_text.cpp
@@ -0,0 +1,146 @@
+#include "include/config/config_store.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace wagtailhatch {
+namespace {
+
+constexpr std::string_view made_on_field = "made_on:";
+constexpr std::size_t max_table = 4'000'000; ///< Cells of the comparison; larger parts are shown as a block.
+constexpr std::size_t max_shown = 200;       ///< Lines.
+
+struct line_range {
+    std::size_t begin = 0;
+    std::size_t end = 0; ///< Behind the line break.
+};
+
+line_range find_made_on(std::string_view text)
+{
+    std::size_t begin = 0;
+    while (begin < text.size()) {
+        const auto line_break = text.find('\n', begin);
+        const auto end = line_break == text.npos ? text.size() : line_break + 1;
+        if (text.substr(begin, made_on_field.size()) == made_on_field) {
+            return {begin, end};
+        }
+        begin = end;
+    }
+    return {};
+}
+
+std::vector<std::string_view> split_lines(std::string_view text)
+{
+    std::vector<std::string_view> lines;
+    while (!text.empty()) {
+        const auto end = std::min(text.find('\n'), text.size());
+        lines.push_back(text.substr(0, end));
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return lines;
+}
+
+class line_difference {
+public:
+    line_difference(std::vector<std::string_view> a, std::vector<std::string_view> b)
+        : a_{std::move(a)}
+        , b_{std::move(b)}
+    {
+        while (first_ < std::min(a_.size(), b_.size()) && a_[first_] == b_[first_]) {
+            ++first_;
+        }
+        while (a_.size() > first_ && b_.size() > first_ && a_.back() == b_.back()) {
+            a_.pop_back();
+            b_.pop_back();
+        }
+    }
+
+    std::string describe()
+    {
+        if ((a_.size() - first_ + 1) * (b_.size() - first_ + 1) <= max_table) {
+            compare();
+        }
+        else {
+            std::for_each(a_.begin() + offset(), a_.end(), [&](auto line) { show('-', line); });
+            std::for_each(b_.begin() + offset(), b_.end(), [&](auto line) { show('+', line); });
+        }
+        if (shown_ > max_shown) {
+            out_ += fmt::format("... and {} more lines\n", shown_ - max_shown);
+        }
+        return out_;
+    }
+
+private:
+    std::ptrdiff_t offset() const { return static_cast<std::ptrdiff_t>(first_); }
+
+    void show(char sign, std::string_view line)
+    {
+        if (++shown_ <= max_shown) {
+            out_ += fmt::format("{} {}\n", sign, line);
+        }
+    }
+
+    /// Longest common subsequence of the lines between the common start and end.
+    void compare()
+    {
+        const auto rows = a_.size() - first_;
+        const auto columns = b_.size() - first_;
+        const auto width = columns + 1;
+        std::vector<std::uint32_t> common((rows + 1) * width, 0);
+        for (auto i = rows; i-- > 0;) {
+            for (auto j = columns; j-- > 0;) {
+                common[i * width + j] =
+                    a_[first_ + i] == b_[first_ + j]
+                        ? common[(i + 1) * width + j + 1] + 1
+                        : std::max(common[(i + 1) * width + j], common[i * width + j + 1]);
+            }
+        }
+        std::size_t i = 0;
+        std::size_t j = 0;
+        while (i < rows || j < columns) {
+            if (i < rows && j < columns && a_[first_ + i] == b_[first_ + j]) {
+                ++i;
+                ++j;
+            }
+            else if (j == columns || (i < rows && common[(i + 1) * width + j] >= common[i * width + j + 1])) {
+                show('-', a_[first_ + i++]);
+            }
+            else {
+                show('+', b_[first_ + j++]);
+            }
+        }
+    }
+
+    std::vector<std::string_view> a_;
+    std::vector<std::string_view> b_;
+    std::size_t first_ = 0; ///< First line that differs.
+    std::size_t shown_ = 0;
+    std::string out_;
+};
+
+} // namespace
+
+std::string accepted_text(std::string_view text)
+{
+    const auto line = find_made_on(text);
+    std::string accepted{text.substr(0, line.begin)};
+    accepted += text.substr(line.end);
+    return accepted;
+}
+
+std::string with_made_on(std::string_view text, std::uint64_t version)
+{
+    const auto line = find_made_on(text);
+    std::string changed{text.substr(0, line.begin)};
+    changed += fmt::format("{} {}\n", made_on_field, version);
+    changed += text.substr(line.end);
+    return changed;
+}
+
+std::string describe_difference(std::string_view before, std::string_view after)
+{
+    return line_difference{split_lines(before), split_lines(after)}.describe();
+}
+
+} // namespace wagtailhatch
--- a/src/config/overlay_parser.cpp
+++ b/src/config/overlay_parser.cpp
@@ -29,9 +29,7 @@
             overlay_.line = node->line;
             overlay_.column = node->column;
         }
-        if (const auto* node = root.find("made_on")) {
-            overlay_.made_on = read_.integer(*node, "made_on", 0, UINT64_MAX).value_or(0);
-        }
+        overlay_.made_on = read_.made_on(root);
         if (const auto* node = root.find("max_staleness")) {
             const auto time = read_.time(*node, "max_staleness", 0s, 24h);
             if (time && *time % 1s != 0ms) {
