--- a/src/node/entry_handler.cpp
+++ b/src/node/entry_handler.cpp
@@ -1,6 +1,5 @@
 #include "src/node/entry_handler.h"
 
-#include "include/observe/span_exporter.h"
 #include "include/ownership/slot_service.h"
 #include "src/node/call_router.h"
 #include "src/node/caller_response.h"
@@ -136,7 +135,7 @@
     m.idempotent = route->idempotent && !route->run_once;
     m.context.level = route->level;
     m.context.deadline = clock_.now() + requested_timeout(request.headers, route->timeout);
-    const auto parent = parse_traceparent(request.headers);
+    const auto parent = read_traceparent(request.headers);
     m.context.trace = child_span(parent, random_);
     filter_request_headers(request.headers);
     m.request = std::move(request);
