Add the stand-in target and the stand-in caller

Cause: overload, run-once and drain are tested with real processes: targets with slots, service times and faults, and callers that check every answer.

Ruled out: a closed loop in the caller. It slows down with the system and hides overload.

Change: standin-target runs requests in its slots, calls downstream through its node, counts runs of each order id, and drains on SIGTERM. standin-caller starts requests at a fixed rate and reports endings, statuses and latency as one JSON line. A server that was stopped no longer answers dropped exchanges.

--- a/src/http/restinio_server.cpp
+++ b/src/http/restinio_server.cpp
@@ -182,7 +182,8 @@
     int listener_fd_ = -1;
     std::uint16_t port_ = 0;
     bool draining_ = false;
-    bool stopped_ = false;
+    bool stopped_ = false; ///< The listener is closed.
+    bool ended_ = false;   ///< stop() was called: the loop may be ending, so nothing more is sent.
 };
 
 void connection_listener::state_changed(const restinio::connection_state::notice_t& notice) noexcept
@@ -280,6 +281,9 @@
 
 void server_core::answer(const restinio::request_handle_t& to, http_response response)
 {
+    if (ended_) {
+        return;
+    }
     // Closing before the last of several pipelined answers would cut the later ones.
     const auto entry = connections_.find(to->connection_id());
     const bool last = entry == connections_.end() || entry->second.last_request == to->request_id();
@@ -346,6 +350,7 @@
 void server_core::stop()
 {
     draining_ = true;
+    ended_ = true;
     close_listener(0);
     handler_ = std::make_shared<http_server::handler>([](const std::shared_ptr<http_exchange>&) {});
     for (auto& [id, entry] : connections_) {
--- a/tools/standin_platform/main.cpp
+++ b/tools/standin_platform/main.cpp
@@ -1,10 +1,10 @@
 #include "include/http/http_server.h"
+#include "tools/standin_common/parse_flags.h"
 #include "tools/standin_common/ready_line.h"
 #include "tools/standin_common/timers.h"
 #include "tools/standin_platform/platform_store.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <asio/signal_set.hpp>
 
@@ -66,6 +66,6 @@
 int main(int argc, char** argv)
 {
     absl::SetProgramUsageMessage("In-memory table service and object store of the platform, for tests.");
-    absl::ParseCommandLine(argc, argv);
+    parse_flags(argc, argv);
     return run();
 }
--- /dev/null
+++ b/tools/standin_target/ledger.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "include/http/http_message.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace wagtailhatch::standin {
+
+/// Order id of a request: its Idempotency-Key, else the value of `order` in its query.
+inline std::string order_id(const http_request& request)
+{
+    if (const auto* key = find_header(request.headers, "Idempotency-Key")) {
+        return *key;
+    }
+    const auto query = request.target.find('?');
+    auto at = query == std::string::npos ? query : request.target.find("order=", query);
+    while (at != std::string::npos && request.target[at - 1] != '?' && request.target[at - 1] != '&') {
+        at = request.target.find("order=", at + 1);
+    }
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto end = request.target.find('&', at);
+    return request.target.substr(at + 6, end == std::string::npos ? end : end - at - 6);
+}
+
+/// What a target saw and ran.
+class ledger {
+public:
+    explicit ledger(std::string forbidden)
+        : forbidden_{std::move(forbidden)}
+    {
+    }
+
+    void received(const http_request& request)
+    {
+        ++requests_;
+        authorization_ = authorization_ || find_header(request.headers, "Authorization") != nullptr;
+        if (forbidden_.empty()) {
+            return;
+        }
+        const auto contains = [this](const std::string& text) {
+            return text.find(forbidden_) != std::string::npos;
+        };
+        forbidden_seen_ =
+            forbidden_seen_ || contains(request.target) || contains(request.body) ||
+            std::any_of(request.headers.begin(), request.headers.end(),
+                        [&](const auto& header) { return contains(header.name) || contains(header.value); });
+    }
+    void ran(const std::string& order)
+    {
+        ++runs_;
+        if (!order.empty()) {
+            ++orders_[order];
+        }
+    }
+    void abandoned() { ++abandoned_; }
+    void expired() { ++expired_; }
+    void answered() { ++answered_; }
+
+    nlohmann::json report() const
+    {
+        return {{"requests", requests_},
+                {"runs", runs_},
+                {"answered", answered_},
+                {"abandoned", abandoned_},
+                {"expired", expired_},
+                {"orders", orders_},
+                {"authorization_seen", authorization_},
+                {"forbidden_seen", forbidden_seen_}};
+    }
+
+private:
+    std::string forbidden_;
+    std::uint64_t requests_ = 0;
+    std::uint64_t runs_ = 0;
+    std::uint64_t answered_ = 0;
+    std::uint64_t abandoned_ = 0; ///< Their callers hung up while they waited; not run.
+    std::uint64_t expired_ = 0;   ///< Their time passed while they waited; not run.
+    std::map<std::string, std::uint64_t> orders_;
+    bool authorization_ = false;
+    bool forbidden_seen_ = false;
+};
+
+} // namespace wagtailhatch::standin
