Find the shed level from an estimate of demand

Cause, by trace of the chain of five at 3x demand: the level was lowered again while the requests admitted before were still on their way, fell through classes without traffic, and took 0.7 s to grow back, so the deepest service ran at a third of its slots. Ruled out: capacity estimate (limit over mean latency instead of finishes gave the same), smaller gain, larger overfill, slower growth. Change: the demand of each class before shedding is estimated from arrivals and the level that senders knew, and the level is set where the classes fill 1.3 times the capacity.

--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -53,10 +53,10 @@
     return from_seconds(static_cast<double>(ahead) * mean_latency_ / limit());
 }
 
-admission_decision admission_controller::refuse(refusal_reason reason, steady_time)
+admission_decision admission_controller::refuse(refusal_reason reason, steady_time now)
 {
     if (reason == refusal_reason::overload) {
-        shedding_.on_refusal();
+        shedding_.on_refusal(now);
     }
     return {admission_decision::kind::refused, reason,
             std::max(shortest_retry_after, wait_for(importance::low))};
@@ -95,7 +95,7 @@
         if (!victim) {
             return refuse(refusal_reason::overload, now);
         }
-        shedding_.on_refusal();
+        shedding_.on_refusal(now);
         pending_.refuse.push_back({victim->id, refusal_reason::overload});
     }
     queue_.push({ticket.id, ticket.level, ticket.deadline, now}, ticket.workspace);
@@ -118,7 +118,6 @@
     mean_latency_ = mean_latency_ <= 0 ? total : mean_latency_ + (total - mean_latency_) * latency_smoothing;
     limit_.on_finish(now, own_latency, success, static_cast<std::uint32_t>(running_.size()));
     running_.erase(it);
-    shedding_.on_finish();
     ++finished_;
 }
 
@@ -140,11 +139,11 @@
     aged_.clear();
     queue_.sweep(now, options_.deadline_aware ? half_service : duration{}, expired_, aged_);
     for (const auto& e : expired_) {
-        shedding_.on_refusal();
+        shedding_.on_refusal(now);
         pending_.refuse.push_back({e.id, refusal_reason::deadline});
     }
     for (const auto& e : aged_) {
-        shedding_.on_refusal();
+        shedding_.on_refusal(now);
         pending_.refuse.push_back({e.id, refusal_reason::overload});
     }
 }
@@ -154,7 +153,7 @@
     while (running_.size() < limit() && queue_.size() > 0) {
         const auto next = queue_.pop(now);
         if (next->deadline <= now) {
-            shedding_.on_refusal();
+            shedding_.on_refusal(now);
             pending_.refuse.push_back({next->id, refusal_reason::deadline});
             continue;
         }
@@ -182,7 +181,7 @@
     report.limit = limit();
     report.queued = static_cast<std::uint32_t>(queue_.size());
     report.estimated_wait = wait_for(importance::normal);
-    report.own = shedding_.level(now);
+    report.own = shedding_.level(now, mean_latency_ > 0 ? limit() / mean_latency_ : 0);
     return report;
 }
 
--- a/src/admission/shed_controller.cpp
+++ b/src/admission/shed_controller.cpp
@@ -8,59 +8,70 @@
 
 // Below this the service would hear of no demand at all, and could not tell when it ends.
 constexpr double lowest_level = 0.1;
-// A window with fewer events is prolonged, up to this many windows, because its ratio is mostly noise.
-constexpr double enough_events = 20;
+// A window with fewer arrivals is prolonged, up to this many windows, because its rate is mostly noise.
+constexpr double enough_arrivals = 20;
 constexpr int longest_window = 4;
+// Of classes admitted to a smaller part than this, arrivals say nothing. Their last demand fades by this
+// factor a window, so that they are tried again.
+constexpr double least_fraction = 0.02;
+constexpr double fading = 0.95;
 
 } // namespace
 
 shed_controller::shed_controller(shed_controller_options options)
     : options_{options}
-    , growth_{options.min_growth}
 {
+    recent_levels_.fill(admit_level::everything);
 }
 
-admit_level shed_controller::level(steady_time now)
+admit_level shed_controller::level(steady_time now, double capacity)
 {
     const auto elapsed = now - window_start_;
-    const double events = std::accumulate(arrived_.begin(), arrived_.end(), finished_);
-    if (elapsed >= options_.window &&
-        (events >= enough_events || elapsed >= options_.window * longest_window)) {
-        end_window();
-        window_start_ = now;
+    const double arrivals = std::accumulate(arrived_.begin(), arrived_.end(), 0.0);
+    if (elapsed < options_.window ||
+        (arrivals < enough_arrivals && elapsed < options_.window * longest_window)) {
+        return admit_level{level_};
     }
+    estimate(
+        std::chrono::duration<double>(std::min<duration>(elapsed, options_.window * longest_window)).count());
+    window_start_ = now;
+    const bool overloaded = now - last_refusal_ < options_.hold && capacity > 0;
+    level_ = overloaded ? solve(capacity * options_.overfill) : admit_level::everything;
+    std::rotate(recent_levels_.begin(), recent_levels_.end() - 1, recent_levels_.end());
+    recent_levels_.front() = level_;
     return admit_level{level_};
 }
 
-void shed_controller::end_window()
+void shed_controller::estimate(double elapsed)
 {
-    if (refused_ > 0) {
-        growth_ = options_.min_growth;
-        const double arrived = std::accumulate(arrived_.begin(), arrived_.end(), 0.0);
-        remove((arrived - std::max(1.0, finished_) * options_.overfill) * options_.gain);
-    }
-    else if (level_ < admit_level::everything) {
-        level_ = std::min(admit_level::everything, level_ + growth_);
-        growth_ = std::min(options_.max_growth, growth_ * 2);
+    // Senders lag behind by some windows. The highest recent level gives the lowest demand, so an error of
+    // the lag lets too much through, which the queue refuses, rather than too little, which leaves slots
+    // idle.
+    const admit_level known{*std::max_element(recent_levels_.begin(), recent_levels_.end())};
+    for (std::size_t c = 0; c < importance_count; ++c) {
+        const double fraction = known.fraction(static_cast<importance>(c));
+        auto& demand = demand_.at(c);
+        if (fraction < least_fraction) {
+            demand *= fading;
+        }
+        else {
+            demand += (arrived_.at(c) / elapsed / fraction - demand) * options_.smoothing;
+        }
     }
     arrived_ = {};
-    refused_ = 0;
-    finished_ = 0;
 }
 
-void shed_controller::remove(double excess)
+double shed_controller::solve(double wanted) const
 {
-    for (std::size_t c = importance_count; c-- > 0 && excess > 0;) {
-        const double fraction = std::clamp(level_ - static_cast<double>(c), 0.0, 1.0);
-        if (fraction <= 0) {
-            continue;
+    double level = 0;
+    for (const double demand : demand_) {
+        if (demand > wanted) {
+            return std::max(lowest_level, level + wanted / demand);
         }
-        const double arrived = arrived_.at(c);
-        const double drop = arrived > 0 ? std::min(fraction, fraction * excess / arrived) : fraction;
-        level_ -= drop;
-        excess -= arrived * drop / fraction;
+        wanted -= demand;
+        level += 1;
     }
-    level_ = std::max(level_, lowest_level);
+    return level;
 }
 
 } // namespace wagtailhatch
