--- a/src/node/call_router.cpp
+++ b/src/node/call_router.cpp
@@ -186,7 +186,8 @@
         service.on_failure(c->target, call_failure::timeout, now);
     }
     else {
-        service.on_answer(c->target, reply.load, latency, c->message.route, result_of(reply), now);
+        service.on_answer(c->target, reply.load,
+                          {c->message.route, c->message.context.depth, result_of(reply), latency}, now);
     }
     if (retry_allowed(c, reply)) {
         attempt(c);
--- a/src/node/local_traffic_plane.cpp
+++ b/src/node/local_traffic_plane.cpp
@@ -2,7 +2,7 @@
 
 #include "include/peer/make_peer_transport.h"
 #include "include/platform/http_table_service.h"
-#include "src/node/group_message.h"
+#include "src/node/quarantine_message.h"
 #include "src/node/traffic_config.h"
 
 #include <asio/post.hpp>
@@ -132,10 +132,10 @@
     call_server::hooks hooks;
     hooks.target_changed = control_.target_changed;
     hooks.target_died = [this](const death_report& report) {
-        tell_group(encode(group_message{group_message::kind::death, report}));
+        tell_group(encode(quarantine_message{quarantine_message::kind::death, report}));
     };
     hooks.cleared = [this](std::uint64_t fingerprint) {
-        tell_group(encode(group_message{group_message::kind::cleared, {0, {fingerprint}}}));
+        tell_group(encode(quarantine_message{quarantine_message::kind::cleared, {0, {fingerprint}}}));
     };
     server_ = std::make_unique<call_server>(io_, clock_, random_, *target_client_, *router_,
                                             settings_.service, std::move(hooks));
@@ -282,11 +282,11 @@
 void local_traffic_plane::serve_group(const std::shared_ptr<peer_request>& request)
 {
     request->respond({});
-    const auto message = decode_group_message(request->payload());
+    const auto message = decode_quarantine_message(request->payload());
     if (!message) {
         return;
     }
-    if (message->what == group_message::kind::death) {
+    if (message->what == quarantine_message::kind::death) {
         server_->quarantine().on_death(message->report, clock_.now());
         return;
     }
--- a/src/node/group_message.cpp
+++ b/src/node/quarantine_message.cpp
@@ -1,10 +1,10 @@
-#include "src/node/group_message.h"
+#include "src/node/quarantine_message.h"
 
 #include "src/core/bounded_archive.h"
 
 namespace wagtailhatch {
 
-std::string encode(const group_message& message)
+std::string encode(const quarantine_message& message)
 {
     std::string out;
     bounded_output_archive ar{out};
@@ -12,17 +12,17 @@
     return out;
 }
 
-result<group_message> decode_group_message(const std::string& bytes)
+result<quarantine_message> decode_quarantine_message(const std::string& bytes)
 {
     try {
-        group_message message;
+        quarantine_message message;
         std::uint8_t kind = 0;
         bounded_input_archive ar{bytes};
         ar(kind, message.report.death_id, message.report.fingerprints);
         if (kind > 1 || ar.remaining() != 0) {
             return make_error(errc::malformed, "group message");
         }
-        message.what = static_cast<group_message::kind>(kind);
+        message.what = static_cast<quarantine_message::kind>(kind);
         return message;
     }
     catch (const cereal::Exception& e) {
--- a/src/node/group_message.h
+++ b/src/node/quarantine_message.h
@@ -10,13 +10,13 @@
 
 /// News between the nodes of one service (channel `group`): a death of a target, or fingerprints that
 /// finished and are cleared.
-struct group_message {
+struct quarantine_message {
     enum class kind : std::uint8_t { death, cleared };
     kind what = kind::death;
     death_report report; ///< For cleared, only the fingerprints count.
 };
 
-std::string encode(const group_message& message);
-result<group_message> decode_group_message(const std::string& bytes);
+std::string encode(const quarantine_message& message);
+result<quarantine_message> decode_quarantine_message(const std::string& bytes);
 
 } // namespace wagtailhatch
--- a/src/ownership/wire.cpp
+++ b/src/ownership/wire.cpp
@@ -5,7 +5,9 @@
 #include <sstream>
 #include <streambuf>
 
+// Named apart from the classes of the same name in src/peer, so that the linker keeps both.
 namespace wagtailhatch {
+inline namespace slot_wire {
 
 namespace {
 
@@ -159,4 +161,5 @@
     return impl_->buffer.left();
 }
 
+} // namespace slot_wire
 } // namespace wagtailhatch
--- a/src/ownership/wire.h
+++ b/src/ownership/wire.h
@@ -7,7 +7,9 @@
 #include <string>
 #include <string_view>
 
+// Named apart from the classes of the same name in src/peer, so that the linker keeps both.
 namespace wagtailhatch {
+inline namespace slot_wire {
 
 /// Writes a message body field by field (cereal portable binary).
 class wire_writer {
@@ -57,4 +59,5 @@
     std::unique_ptr<impl> impl_;
 };
 
+} // namespace slot_wire
 } // namespace wagtailhatch
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -1,6 +1,6 @@
 #include "src/peer/frame.h"
 
-#include "src/peer/packet.h"
+#include "src/peer/wire.h"
 
 #include <cassert>
 
@@ -9,7 +9,7 @@
 std::string encode_frame(frame_type type, std::uint8_t code, std::uint64_t id, std::string_view payload)
 {
     assert(payload.size() <= max_frame_payload);
-    packet_writer writer{std::string_view{"\0\0\0\0", frame_prefix_size}};
+    wire_writer writer{std::string_view{"\0\0\0\0", frame_prefix_size}};
     writer.number(static_cast<std::uint8_t>(type));
     writer.number(code);
     writer.number(id);
@@ -24,7 +24,7 @@
 
 std::optional<frame> decode_frame(std::string_view bytes)
 {
-    packet_reader reader{bytes};
+    wire_reader reader{bytes};
     const auto type = reader.number<std::uint8_t>();
     frame f;
     f.code = reader.number<std::uint8_t>();
--- a/src/peer/packet.h
+++ b/src/peer/wire.h
@@ -14,10 +14,10 @@
 namespace wagtailhatch {
 
 /// Builds a message in cereal portable binary.
-class packet_writer {
+class wire_writer {
 public:
     /// prefix is put in front of the message unchanged.
-    explicit packet_writer(std::string_view prefix = {})
+    explicit wire_writer(std::string_view prefix = {})
         : stream_{std::string{prefix}, std::ios::binary | std::ios::ate | std::ios::out}
         , archive_{stream_}
     {
@@ -49,9 +49,9 @@
 
 /// Reads a message in cereal portable binary. Every length is checked against the bytes at hand before cereal
 /// sees it; after a shortfall ok() is false and all values are empty.
-class packet_reader {
+class wire_reader {
 public:
-    explicit packet_reader(std::string_view bytes)
+    explicit wire_reader(std::string_view bytes)
         : ok_{!bytes.empty()}
         , buffer_{bytes.empty() ? std::string_view{"\1", 1} : bytes}
         , stream_{&buffer_}
