--- a/src/node/local_traffic_plane.cpp
+++ b/src/node/local_traffic_plane.cpp
@@ -30,7 +30,7 @@
 
 error listener_error(const char* setting, const listen_address& address, const error& e)
 {
-    return {e.code, std::string{"setting listen."} + setting + " (" + address.ip + ":" +
+    return {e.code, std::string{"setting "} + setting + " (" + address.ip + ":" +
                         std::to_string(address.port) + "): " + e.detail};
 }
 
--- a/tests/system/deployment.cpp
+++ b/tests/system/deployment.cpp
@@ -116,7 +116,7 @@
 {
     std::ofstream out{folder_ + "/" + id + ".yaml"};
     out << "instance: " << id << "\ndata_centre: " << data_centre << "\nservice: " << service
-        << "\nplatform: \"" << platform_address_ << "\"\nlisten:\n  peers: \"" << listen << "\"\n"
+        << "\nplatform: \"" << platform_address_ << "\"\npeers: \"" << listen << "\"\n"
         << "peer_secret: \"0123456789abcdef0123456789abcdef\"\ndrain_timeout: 20s\n";
     if (!seed_peer_.empty()) {
         out << "seeds: [\"" << seed_peer_ << "\"]\n";
