--- a/src/peer/psk_context.h
+++ b/src/peer/psk_context.h
@@ -13,6 +13,7 @@
 class psk_context {
 public:
     explicit psk_context(const std::string& secret);
+    ~psk_context() = default;
     psk_context(const psk_context&) = delete;
     psk_context& operator=(const psk_context&) = delete;
 
