--- a/src/http/restinio_server.cpp
+++ b/src/http/restinio_server.cpp
@@ -155,7 +155,7 @@
     void accepted(restinio::connection_id_t id, tracked_socket* socket)
     {
         connections_[id].socket = socket;
-        socket->hold(shared_from_this());
+        socket->on_destroyed([self = shared_from_this(), id] { self->connections_.erase(id); });
     }
     void closed(restinio::connection_id_t id);
     void answer(const restinio::request_handle_t& to, http_response response);
--- a/src/http/tracked_socket.h
+++ b/src/http/tracked_socket.h
@@ -4,7 +4,7 @@
 #include <asio/ip/tcp.hpp>
 
 #include <cstddef>
-#include <memory>
+#include <functional>
 #include <system_error>
 #include <utility>
 
@@ -18,6 +18,14 @@
         : asio::ip::tcp::socket{io}
     {
     }
+    tracked_socket(tracked_socket&&) = default;
+    tracked_socket& operator=(tracked_socket&&) = delete;
+    ~tracked_socket()
+    {
+        if (on_destroyed_) {
+            on_destroyed_();
+        }
+    }
 
     /// Hides the base class's function to note that bytes came in.
     template <typename Buffers, typename Handler>
@@ -42,12 +50,14 @@
         shutdown(what, ignored);
     }
 
-    /// Keeps the listener alive: connections hold a plain pointer to its connection counter.
-    void hold(std::shared_ptr<void> owner) { owner_ = std::move(owner); }
+    /// Runs when the socket is destroyed, which is not always announced by RESTinio. What the function holds
+    /// lives until then; connections need that of their listener, as they hold a plain pointer to its
+    /// counter.
+    void on_destroyed(std::function<void()> callback) { on_destroyed_ = std::move(callback); }
 
 private:
     bool partial_request_ = false;
-    std::shared_ptr<void> owner_;
+    std::function<void()> on_destroyed_;
 };
 
 /// Socket of the connection that RESTinio is opening on this thread, for the listener that it calls next.
