Start HTTP calls without a timer and share the header rules

Ruled out: entering libcurl at once from start(), since completions must not run inside it.

Change: a zero timeout is posted to the event loop. Header rules of server and client are one file. The garbage request of the server test had one byte too many, which the linter showed.

--- a/include/http/http_server.h
+++ b/include/http/http_server.h
@@ -31,8 +31,8 @@
 struct http_server_options {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0; ///< 0: chosen by the system.
-    std::size_t max_url = 8 * 1024;
-    std::size_t max_header_field = 16 * 1024;
+    std::size_t max_url = std::size_t{8} << 10;
+    std::size_t max_header_field = std::size_t{16} << 10;
     std::size_t max_header_count = 100;
     std::size_t max_body = std::size_t{8} << 20;
     std::size_t max_connections = 1000;
--- a/src/http/curl_event_loop.cpp
+++ b/src/http/curl_event_loop.cpp
@@ -1,5 +1,7 @@
 #include "src/http/curl_event_loop.h"
 
+#include <asio/post.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <netinet/in.h>
@@ -141,8 +143,13 @@
         loop.timer_.cancel();
         return 0;
     }
-    // libcurl must not be entered again from its own callback, so even a zero timeout takes a turn of the
-    // loop.
+    if (timeout_ms == 0) {
+        // Each start asks for this. libcurl must not be entered again from its own callback; a post does it
+        // without a timer's system calls.
+        loop.timer_.cancel();
+        loop.act_soon();
+        return 0;
+    }
     loop.timer_.expires_after(std::chrono::milliseconds{timeout_ms});
     loop.timer_.async_wait([weak = loop.weak_from_this()](std::error_code ec) {
         const auto self_again = weak.lock();
@@ -153,6 +160,20 @@
     return 0;
 }
 
+void curl_event_loop::act_soon()
+{
+    if (std::exchange(acting_soon_, true)) {
+        return;
+    }
+    asio::post(io_, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self != nullptr) {
+            self->acting_soon_ = false;
+            self->act(CURL_SOCKET_TIMEOUT, 0);
+        }
+    });
+}
+
 void curl_event_loop::act(curl_socket_t fd, int events)
 {
     if (multi_ == nullptr) {
--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -1,8 +1,9 @@
 #include "src/http/curl_transfer.h"
 
+#include "src/http/header_rules.h"
+
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <chrono>
 #include <string_view>
 #include <utility>
@@ -17,23 +18,7 @@
 /// outcome. Our own server keeps them 10 s.
 constexpr long max_idle_seconds = 5;
 
-constexpr long read_buffer_size = 64 * 1024;
-
-std::string lower(std::string_view text)
-{
-    std::string out{text};
-    std::transform(out.begin(), out.end(), out.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return out;
-}
-
-bool is_token(std::string_view text)
-{
-    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
-    return !text.empty() && std::all_of(text.begin(), text.end(), [marks](unsigned char c) {
-        return std::isalnum(c) != 0 || marks.find(static_cast<char>(c)) != std::string_view::npos;
-    });
-}
+constexpr long read_buffer_size = 64L << 10;
 
 bool is_target(std::string_view text)
 {
@@ -41,20 +26,6 @@
            std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 0x20 && c != 0x7f; });
 }
 
-bool is_field_value(std::string_view text)
-{
-    return std::none_of(text.begin(), text.end(), [](char c) { return c == '\r' || c == '\n' || c == '\0'; });
-}
-
-/// Headers of the connection, which libcurl makes itself.
-bool is_connection_header(std::string_view lower_name)
-{
-    constexpr std::array<std::string_view, 9> names{
-        "connection", "keep-alive", "proxy-connection",  "content-length", "expect",
-        "te",         "trailer",    "transfer-encoding", "upgrade"};
-    return std::find(names.begin(), names.end(), lower_name) != names.end();
-}
-
 std::string_view trim(std::string_view text)
 {
     const auto first = text.find_first_not_of(" \t\r\n");
@@ -205,7 +176,7 @@
         if (!is_token(header.name) || !is_field_value(header.value)) {
             return make_error(errc::invalid_argument, "request header");
         }
-        const auto name = lower(header.name);
+        const auto name = to_lower(header.name);
         if (is_connection_header(name)) {
             continue;
         }
@@ -271,7 +242,7 @@
 
 bool curl_transfer::on_field(const std::string& name, const std::string& value)
 {
-    const auto key = lower(name);
+    const auto key = to_lower(name);
     if (key == "content-length") {
         ++content_lengths_;
         if (value.empty() || value.find_first_not_of("0123456789") != std::string::npos) {
@@ -279,7 +250,7 @@
         }
     }
     else if (key == "transfer-encoding") {
-        if (lower(value) != "chunked" || chunked_) {
+        if (to_lower(value) != "chunked" || chunked_) {
             violation_ = "transfer coding other than chunked";
         }
         chunked_ = true;
--- /dev/null
+++ b/src/http/header_rules.cpp
@@ -0,0 +1,38 @@
+#include "src/http/header_rules.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace wagtailhatch {
+
+std::string to_lower(std::string_view text)
+{
+    std::string out{text};
+    std::transform(out.begin(), out.end(), out.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return out;
+}
+
+bool is_token(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [marks](unsigned char c) {
+        return std::isalnum(c) != 0 || marks.find(static_cast<char>(c)) != std::string_view::npos;
+    });
+}
+
+bool is_field_value(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(), [](char c) { return c == '\r' || c == '\n' || c == '\0'; });
+}
+
+bool is_connection_header(std::string_view name)
+{
+    constexpr std::array<std::string_view, 9> names{
+        "connection", "keep-alive", "proxy-connection",  "content-length", "expect",
+        "te",         "trailer",    "transfer-encoding", "upgrade"};
+    return std::find(names.begin(), names.end(), to_lower(name)) != names.end();
+}
+
+} // namespace wagtailhatch
--- a/src/http/restinio_server.cpp
+++ b/src/http/restinio_server.cpp
@@ -1,12 +1,11 @@
 #include "include/http/http_server.h"
+#include "src/http/header_rules.h"
 #include "src/http/reason_phrase.h"
 #include "src/http/tracked_socket.h"
 
 #include <restinio/all.hpp>
 
 #include <algorithm>
-#include <array>
-#include <cctype>
 #include <exception>
 #include <poll.h>
 #include <unordered_map>
@@ -23,6 +22,8 @@
 /// Time for a client to take a whole response; slow links need it for large artwork.
 constexpr std::chrono::seconds write_timeout{30};
 
+constexpr std::size_t read_buffer_size = std::size_t{16} << 10;
+
 /// Turns of the event loop in which connections that wait in the listen queue are still taken on drain.
 constexpr int max_backlog_turns = 4096;
 
@@ -48,23 +49,6 @@
 
 using restinio_server = restinio::http_server_t<server_traits>;
 
-/// Headers that belong to the connection and are made here.
-bool is_connection_header(const std::string& name)
-{
-    constexpr std::array<std::string_view, 6> names{"connection",        "keep-alive", "content-length",
-                                                    "transfer-encoding", "upgrade",    "trailer"};
-    std::string lower{name};
-    std::transform(lower.begin(), lower.end(), lower.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return std::find(names.begin(), names.end(), lower) != names.end();
-}
-
-/// Control characters in a header would let its value end the header and start another response.
-bool is_clean(const std::string& text)
-{
-    return std::none_of(text.begin(), text.end(), [](char c) { return c == '\r' || c == '\n' || c == '\0'; });
-}
-
 http_request to_request(const restinio::request_t& from)
 {
     http_request out;
@@ -86,8 +70,7 @@
         restinio::http_status_line_t{restinio::http_status_code_t{static_cast<std::uint16_t>(status)},
                                      std::string{reason_phrase(status)}});
     for (auto& header : response.headers) {
-        if (!header.name.empty() && is_clean(header.name) && is_clean(header.value) &&
-            !is_connection_header(header.name)) {
+        if (is_token(header.name) && is_field_value(header.value) && !is_connection_header(header.name)) {
             builder.append_header(std::move(header.name), std::move(header.value));
         }
     }
@@ -117,6 +100,8 @@
             respond(http_response{500, {}, {}});
         }
     }
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
 
     http_request& request() override { return request_; }
     void respond(http_response response) override;
@@ -211,7 +196,7 @@
     restinio::server_settings_t<server_traits> out{options.port, address.is_v6() ? asio::ip::tcp::v6()
                                                                                  : asio::ip::tcp::v4()};
     out.address(address)
-        .buffer_size(16 * 1024)
+        .buffer_size(read_buffer_size)
         .max_pipelined_requests(max_pipelined)
         .max_parallel_connections(options.max_connections)
         .read_next_http_message_timelimit(options.read_timeout)
@@ -365,6 +350,8 @@
     {
     }
     ~restinio_http_server() override { core_->stop(); }
+    restinio_http_server(const restinio_http_server&) = delete;
+    restinio_http_server& operator=(const restinio_http_server&) = delete;
 
     std::uint16_t port() const override { return core_->port(); }
     void drain() override { core_->drain(); }
--- a/src/http/tracked_socket.h
+++ b/src/http/tracked_socket.h
@@ -18,7 +18,9 @@
         : asio::ip::tcp::socket{io}
     {
     }
+    tracked_socket(const tracked_socket&) = delete;
     tracked_socket(tracked_socket&&) = default;
+    tracked_socket& operator=(const tracked_socket&) = delete;
     tracked_socket& operator=(tracked_socket&&) = delete;
     ~tracked_socket()
     {
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -227,27 +227,16 @@
 TEST_CASE("a request that cannot be written as HTTP is refused")
 {
     fixture f{always(whole)};
+    const std::function<void(http_call&)> spoil = GENERATE(
+        as<std::function<void(http_call&)>>{},
+        [](http_call& c) { c.request.method = "GET /evil HTTP/1.1\r\nX:"; },
+        [](http_call& c) { c.request.target = "/x HTTP/1.1\r\nX: 1"; },
+        [](http_call& c) {
+            c.request.headers = {{"X-A", "1\r\nX-B: 2"}};
+        },
+        [](http_call& c) { c.address = "localhost:1"; }, [](http_call& c) { c.address = "127.0.0.1"; });
     auto call = make_call(f.server.address(), "GET", "/x");
-    SECTION("method")
-    {
-        call.request.method = "GET /evil HTTP/1.1\r\nX:";
-    }
-    SECTION("target")
-    {
-        call.request.target = "/x HTTP/1.1\r\nX: 1";
-    }
-    SECTION("header")
-    {
-        call.request.headers = {{"X-A", "1\r\nX-B: 2"}};
-    }
-    SECTION("host name")
-    {
-        call.address = "localhost:1";
-    }
-    SECTION("no port")
-    {
-        call.address = "127.0.0.1";
-    }
+    spoil(call);
     const auto result = complete(f.io, *f.client, std::move(call));
     CHECK(result.reason.code == errc::invalid_argument);
     CHECK(result.sent == delivery::not_sent);
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -12,7 +12,7 @@
 
 /// A server whose requests wait until the test answers them, unless told to echo.
 struct fixture {
-    explicit fixture(http_server_options options = {}, bool echo = true)
+    explicit fixture(const http_server_options& options = {}, bool echo = true)
     {
         auto made = make_http_server(io, options, [this, echo](std::shared_ptr<http_exchange> e) {
             ++handled;
@@ -183,12 +183,14 @@
     raw_client garbage{f.io, f.server->port()};
     raw_client many{f.io, f.server->port()};
     raw_client url{f.io, f.server->port()};
-    header.send("GET / HTTP/1.1\r\nX-Long: " + std::string(100'000'000, 'a'));
+    std::string large = "GET / HTTP/1.1\r\nX-Long: ";
+    large.resize(std::size_t{100} << 20, 'a');
+    header.send(std::move(large));
     body.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n");
     chunks.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" +
                 std::string(1001, 'c') + "\r\n0\r\n\r\n");
     half.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf");
-    garbage.send(std::string("\x16\x03\x01\x00\xff\xfe not http\r\n\r\n", 20));
+    garbage.send(std::string("\x16\x03\x01\x00\xff\xfe not http\r\n\r\n", 19));
     std::string headers;
     for (int i = 0; i < 200; ++i) {
         headers += "X-" + std::to_string(i) + ": 1\r\n";
