--- /dev/null
+++ b/bench/policy/decision_cost.cpp
@@ -0,0 +1,133 @@
+#include "bench/registry.h"
+#include "include/admission/admission_controller.h"
+#include "include/routing/balancer.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <ctime>
+#include <ostream>
+
+namespace wagtailhatch::bench {
+namespace {
+
+constexpr double target_nanoseconds = 2000;
+constexpr std::size_t targets_known[] = {4, 13, 100, 500};
+constexpr std::size_t workspaces_known[] = {8, 64, 512};
+
+/// What a node decides for one request: shed or not and which target as a sender, admission as the receiver.
+class decision_loop {
+public:
+    decision_loop(std::size_t workspaces, std::size_t targets, std::uint64_t seed)
+        : random_{seed}
+        , balancer_{{.data_centre = "dc0"}, random_}
+        , admission_{make_options()}
+    {
+        for (std::size_t i = 0; i < targets; ++i) {
+            member m;
+            m.id = "target" + std::to_string(i);
+            m.data_centre = "dc" + std::to_string(i % 4);
+            m.state = member_state::ready;
+            members_.push_back(m);
+        }
+        balancer_.set_members(members_, now_);
+        for (std::size_t i = 0; i < workspaces; ++i) {
+            names_.push_back("workspace" + std::to_string(i));
+            balancer_.set_weight(names_.back(), 1);
+            admission_.set_weight(names_.back(), 1);
+        }
+        admission_.set_target_state(target_state::ready, now_);
+    }
+
+    /// One request at a node under overload: 20% more arrives than is served.
+    void step()
+    {
+        now_ += std::chrono::microseconds{300};
+        const auto id = next_++;
+        const auto& workspace = names_[random_.below(names_.size())];
+        const auto level = static_cast<importance>(random_.below(importance_count));
+        const bool shed = balancer_.should_shed("route", level, workspace, now_);
+        const auto pick = balancer_.pick(now_);
+        balancer_.on_sent(pick.target->id, now_);
+        const auto decision = admission_.submit({id, level, workspace, now_ + std::chrono::seconds{1}}, now_);
+        if (decision.what == admission_decision::kind::start) {
+            running_.push_back(id);
+        }
+        collect();
+        if (id % 6 != 0 && !running_.empty()) {
+            admission_.finish(running_[first_], std::chrono::milliseconds{20}, true, now_);
+            ++first_;
+            collect();
+        }
+        auto report = admission_.load(now_);
+        balancer_.on_answer(
+            pick.target->id, report,
+            {"route", 0, shed ? call_result::refused : call_result::answered, std::chrono::milliseconds{20}},
+            now_);
+        if (first_ > 10'000) {
+            running_.erase(running_.begin(), running_.begin() + static_cast<std::ptrdiff_t>(first_));
+            first_ = 0;
+        }
+    }
+
+private:
+    static admission_options make_options()
+    {
+        admission_options options;
+        options.limit = limit_options_for_slots(115);
+        return options;
+    }
+
+    void collect()
+    {
+        const auto& events = admission_.poll(now_);
+        running_.insert(running_.end(), events.start.begin(), events.start.end());
+    }
+
+    random_source random_;
+    steady_time now_{std::chrono::hours{1}};
+    std::vector<member> members_;
+    std::vector<std::string> names_;
+    balancer balancer_;
+    admission_controller admission_;
+    std::vector<std::uint64_t> running_;
+    std::size_t first_ = 0;
+    std::uint64_t next_ = 1;
+};
+
+bench_totals run(std::ostream& out, const bench_options& options)
+{
+    bench_totals totals;
+    const int steps = options.quick ? 200'000 : 1'000'000;
+    out << "shed check, pick, submit, finish, polls, load report and answer of one request under overload\n";
+    for (const auto workspaces : workspaces_known) {
+        for (const auto targets : targets_known) {
+            decision_loop loop{workspaces, targets, options.seed};
+            for (int i = 0; i < 20'000; ++i) {
+                loop.step();
+            }
+            // Thread time, not elapsed time: other programs on the machine do not count.
+            timespec before{};
+            timespec after{};
+            clock_gettime(CLOCK_THREAD_CPUTIME_ID, &before);
+            for (int i = 0; i < steps; ++i) {
+                loop.step();
+            }
+            clock_gettime(CLOCK_THREAD_CPUTIME_ID, &after);
+            const double ns = (static_cast<double>(after.tv_sec - before.tv_sec) * 1e9 +
+                               static_cast<double>(after.tv_nsec - before.tv_nsec)) /
+                              steps;
+            const bool met = ns <= target_nanoseconds;
+            ++totals.rows;
+            totals.met += met ? 1 : 0;
+            out << fmt::format("{:4} workspaces, {:4} targets: {:7.0f} ns a request  <= 2000  {}\n",
+                               workspaces, targets, ns, met ? "met" : "NOT MET");
+        }
+    }
+    return totals;
+}
+
+const registration cost{"decision cost", "policy", run};
+
+} // namespace
+} // namespace wagtailhatch::bench
--- a/bench/policy/quota.h
+++ b/bench/policy/quota.h
@@ -11,6 +11,9 @@
 public:
     virtual ~workspace_quota() = default;
     virtual bool admit(double now) = 0;
+
+    /// Admitted since time 0 above rate x time + burst; 0 if none.
+    virtual double excess(double now) const = 0;
 };
 
 /// One exact token bucket for the whole fleet: what the distributed quota should come close to.
@@ -31,14 +34,18 @@
             return false;
         }
         tokens_ -= 1;
+        admitted_ += 1;
         return true;
     }
 
+    double excess(double now) const override { return std::max(0.0, admitted_ - (rate_ * now + burst_)); }
+
 private:
     double rate_;
     double burst_;
     double tokens_;
     double last_ = 0;
+    double admitted_ = 0;
 };
 
 } // namespace wagtailhatch::bench
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -40,6 +40,7 @@
     double bottleneck_runs = 0;     ///< Calls that a target of the bottleneck started.
     double bottleneck_requests = 0; ///< Caller requests whose route ends there.
     std::uint32_t deaths = 0;       ///< Of targets, by the crashing request.
+    double rate_excess = 0; ///< Most that a workspace was admitted above rate x time + burst, from the start.
 };
 
 outcome_counts simulate(const sim_deployment& deployment, const scenario& what, const variant& policy,
--- a/bench/policy/simulator.cpp
+++ b/bench/policy/simulator.cpp
@@ -62,6 +62,9 @@
     const auto& service = deployment_.services[static_cast<std::size_t>(s.service)];
     auto admit = policy_.admit;
     admit.limit = limit_options_for_slots(policy_.know_slots ? service.slots : 0);
+    if (policy_.limit_at_connections) {
+        admit.limit = limit_options_for_slots(service.connections);
+    }
     s.admission = std::make_unique<admission_controller>(admit);
     for (std::size_t w = 0; w < workspace_names_.size(); ++w) {
         s.admission->set_weight(workspace_names_[w], deployment_.workspaces[w]);
--- a/bench/policy/variant.h
+++ b/bench/policy/variant.h
@@ -11,8 +11,9 @@
 /// One way to run the same deployment: a baseline, the product, or the product without one mechanism.
 struct variant {
     std::string name;
-    bool admission = true;  ///< Off: nothing between sender and target.
-    bool know_slots = true; ///< Off: the limit is found by measurement alone.
+    bool admission = true;             ///< Off: nothing between sender and target.
+    bool limit_at_connections = false; ///< The limit is what the target accepts, not its slots.
+    bool know_slots = true;            ///< Off: the limit is found by measurement alone.
     bool importance_classes = true;
     bool entry_shedding = true;
     bool propagate_deadline = true; ///< And cancellation.
@@ -26,7 +27,11 @@
 };
 
 variant no_control();
+/// A fixed limit at each target's service slots: the best that a fixed limit can be set to.
 variant fixed_limit();
+
+/// A fixed limit at the connections that each target accepts.
+variant fixed_connections();
 variant product();
 
 /// The product with each mechanism switched off in turn.
--- a/include/routing/balancer.h
+++ b/include/routing/balancer.h
@@ -24,8 +24,8 @@
     bool use_reports = true; ///< Off: own outstanding requests only.
     bool ejection = true;
     bool slow_start = true;
-    target_view_options view;
-    entry_shedder_options shedding;
+    target_view_options view{};
+    entry_shedder_options shedding{};
 };
 
 struct pick_result {
