--- a/include/routing/balancer.h
+++ b/include/routing/balancer.h
@@ -24,8 +24,8 @@
     bool use_reports = true; ///< Off: own outstanding requests only.
     bool ejection = true;
     bool slow_start = true;
-    target_view_options view;
-    entry_shedder_options shedding;
+    target_view_options view{};
+    entry_shedder_options shedding{};
 };
 
 struct pick_result {
@@ -112,6 +112,8 @@
     std::vector<std::uint32_t> others_;
     string_map<path_state> paths_;
     entry_shedder shedder_;
+    mutable admit_level own_pressure_; ///< Computed at pressure_time_.
+    mutable steady_time pressure_time_{};
 };
 
 } // namespace wagtailhatch
