--- a/include/ownership/slot_service.h
+++ b/include/ownership/slot_service.h
@@ -105,8 +105,7 @@
 private:
     /// What the pair keeps for one slot.
     struct slot_state {
-        std::map<std::string, mint_copy> copies; ///< As partner, or inherited and not used yet.
-        std::map<std::string, token_mint> mints; ///< As owner.
+        std::map<std::string, token_mint> mints; ///< As partner: copies.
         std::unique_ptr<run_once_home> claims;
         share_gate::record gate_record; ///< version 0: none.
         std::unique_ptr<share_gate> gate;
@@ -161,6 +160,7 @@
                   std::uint32_t wish, int tries, std::function<void(const mint_answer&)> done);
     void handle_take(std::string_view body, const reply& respond);
     void handle_settle(std::string_view body);
+    void lower_shares(std::uint32_t slot);
     token_mint* mint_for(std::uint32_t slot, const std::string& workspace);
     void grant_copied(std::uint32_t slot, std::uint64_t epoch, const std::string& workspace,
                       const token_mint::grant& g, bool copied, const reply& respond);
--- a/include/quota/token_mint.h
+++ b/include/quota/token_mint.h
@@ -23,7 +23,9 @@
 struct mint_copy {
     nano_tokens available = 0;
     nano_tokens outstanding = 0;
-    steady_time recorded{}; ///< Clock of the node that keeps the copy.
+    double rate = 0;         ///< In force at the owner then.
+    std::uint64_t burst = 0; ///< In force at the owner then.
+    steady_time recorded{};  ///< Clock of the node that keeps the copy.
 };
 
 /// Token bucket of one workspace in one data centre, at the owner of its slot. Tokens in hand plus tokens
@@ -37,12 +39,14 @@
     };
 
     /// A full bucket. Only for a workspace of which nothing was ever granted here.
-    token_mint(double rate, std::uint64_t burst, steady_time now, std::uint64_t first_id);
+    token_mint(double rate, std::uint64_t burst, steady_time now);
     /// Continues from the partner's copy.
-    token_mint(double rate, std::uint64_t burst, const mint_copy& copy, std::uint64_t first_id);
+    explicit token_mint(const mint_copy& copy);
     /// History was lost then: whatever the burst allows may be outstanding.
-    static token_mint after_loss(double rate, std::uint64_t burst, steady_time lost_at,
-                                 std::uint64_t first_id);
+    static token_mint after_loss(double rate, std::uint64_t burst, steady_time lost_at);
+
+    /// Ids of grants from now on, above those of all earlier owners.
+    void begin_epoch(std::uint64_t first_id) { next_id_ = first_id; }
 
     void set_share(double rate, std::uint64_t burst, steady_time now);
 
--- a/src/ownership/slot_records.cpp
+++ b/src/ownership/slot_records.cpp
@@ -6,6 +6,14 @@
 
 namespace wagtailhatch {
 
+namespace {
+
+// Keeps sums of nano_tokens well inside 64 bits.
+constexpr double most_rate = 1e9;
+constexpr std::uint64_t most_burst = 1'000'000'000;
+
+} // namespace
+
 std::string tagged(record_type type, std::string_view body)
 {
     std::string record(1, static_cast<char>(type));
@@ -20,7 +28,7 @@
 std::string encode_mint(const std::string& workspace, const mint_copy& copy)
 {
     wire_writer w;
-    return w.str(workspace).i64(copy.available).i64(copy.outstanding).take();
+    return w.str(workspace).i64(copy.available).i64(copy.outstanding).f64(copy.rate).u64(copy.burst).take();
 }
 
 std::optional<std::pair<std::string, mint_copy>> decode_mint(std::string_view body)
@@ -30,7 +38,10 @@
     m.first = r.str();
     m.second.available = std::max<nano_tokens>(0, r.i64());
     m.second.outstanding = std::max<nano_tokens>(0, r.i64());
-    return r.finished() ? std::optional{m} : std::nullopt;
+    m.second.rate = r.f64();
+    m.second.burst = r.u64();
+    const bool sane = m.second.rate >= 0 && m.second.rate < most_rate && m.second.burst < most_burst;
+    return r.finished() && sane ? std::optional{m} : std::nullopt;
 }
 
 std::string encode_gate(const share_gate::record& record)
--- a/src/ownership/slot_records.h
+++ b/src/ownership/slot_records.h
@@ -14,6 +14,13 @@
 /// First byte of each record that an owner copies to its partner.
 enum class record_type : std::uint8_t { claim = 1, mint, gate, moved, mints_lost };
 
+/// First id of an epoch's grants. Ids of different epochs never meet, so a report of an earlier owner's grant
+/// is not taken for one of the present owner's.
+constexpr std::uint64_t first_grant(std::uint64_t epoch)
+{
+    return (epoch << 32U) + 1;
+}
+
 std::string tagged(record_type type, std::string_view body);
 record_type type_of(std::string_view record);
 
--- a/src/ownership/slot_service.cpp
+++ b/src/ownership/slot_service.cpp
@@ -73,6 +73,7 @@
         if (ownership_.role(slot) == slot_role::owner) {
             adopt_configuration(slot);
         }
+        lower_shares(slot);
     }
 }
 
@@ -149,6 +150,9 @@
     s.gate_copied = false;
     s.next_confirm = {};
     s.confirm_retry = {};
+    for (auto& [workspace, m] : s.mints) {
+        m.begin_epoch(first_grant(epoch));
+    }
     note_moved(slot);
     pairs_.start(slot, epoch, continues);
     pairs_.append(slot, tagged(record_type::gate, encode_gate(s.gate_record)), [this, slot](bool copied) {
@@ -202,9 +206,6 @@
     for (auto& [workspace, m] : s.mints) {
         records.push_back(tagged(record_type::mint, encode_mint(workspace, m.copy(now))));
     }
-    for (const auto& [workspace, copy] : s.copies) {
-        records.push_back(tagged(record_type::mint, encode_mint(workspace, copy)));
-    }
     for (const auto& [workspace, at] : s.moved) {
         records.push_back(tagged(record_type::moved, encode_moved(workspace, now - at)));
     }
@@ -217,7 +218,6 @@
 void slot_service::reset(std::uint32_t slot)
 {
     auto& s = state(slot);
-    s.copies.clear();
     s.mints.clear();
     s.moved.clear();
     s.lost_at.reset();
@@ -237,7 +237,7 @@
         auto m = decode_mint(body);
         if (m) {
             m->second.recorded = now;
-            s.copies[m->first] = m->second;
+            s.mints.insert_or_assign(m->first, token_mint{m->second});
         }
         return m.has_value();
     }
--- a/src/ownership/slot_service_quota.cpp
+++ b/src/ownership/slot_service_quota.cpp
@@ -4,19 +4,14 @@
 #include "src/ownership/slot_records.h"
 #include "src/ownership/wire.h"
 
+#include <algorithm>
+
 namespace wagtailhatch {
 
 namespace {
 
 constexpr int most_tries = 2;
 
-// Ids of an epoch never meet those of another: reports carry the epoch too, but a mint outlives its epoch
-// when only the partner changes.
-std::uint64_t first_grant(std::uint64_t epoch)
-{
-    return (epoch << 32U) + 1;
-}
-
 std::string unavailable()
 {
     wire_writer w;
@@ -105,26 +100,33 @@
     const auto now = clock_.now();
     auto found = s.mints.find(workspace);
     if (found == s.mints.end()) {
-        const auto first = first_grant(ownership_.row(slot).epoch);
-        const auto copy = s.copies.find(workspace);
-        if (copy != s.copies.end()) {
-            found =
-                s.mints.emplace(workspace, token_mint{share.rate, share.burst, copy->second, first}).first;
-            s.copies.erase(copy);
-        }
-        else if (s.lost_at) {
-            found =
-                s.mints.emplace(workspace, token_mint::after_loss(share.rate, share.burst, *s.lost_at, first))
-                    .first;
-        }
-        else {
-            found = s.mints.emplace(workspace, token_mint{share.rate, share.burst, now, first}).first;
-        }
+        found =
+            s.mints
+                .emplace(workspace, s.lost_at ? token_mint::after_loss(share.rate, share.burst, *s.lost_at)
+                                              : token_mint{share.rate, share.burst, now})
+                .first;
+        found->second.begin_epoch(first_grant(ownership_.row(slot).epoch));
     }
     found->second.set_share(share.rate, share.burst, now);
     return &found->second;
 }
 
+// A lower share counts from now on, also in the partner's copies: minting at the old rate until the next take
+// would exceed the new one.
+void slot_service::lower_shares(std::uint32_t slot)
+{
+    auto& s = state(slot);
+    const auto now = clock_.now();
+    for (auto& [workspace, mint] : s.mints) {
+        const auto found = config_->workspaces.find(workspace);
+        const auto most = found == config_->workspaces.end()
+                              ? workspace_share{}
+                              : share_of(*config_, found->second, own_data_centre());
+        const auto burst = static_cast<std::uint64_t>(mint.burst() / whole_token);
+        mint.set_share(std::min(mint.rate(), most.rate), std::min(burst, most.burst), now);
+    }
+}
+
 void slot_service::handle_take(std::string_view body, const reply& respond)
 {
     wire_reader r{body};
--- a/src/quota/token_mint.cpp
+++ b/src/quota/token_mint.cpp
@@ -17,21 +17,19 @@
 
 } // namespace
 
-token_mint::token_mint(double rate, std::uint64_t burst, steady_time now, std::uint64_t first_id)
+token_mint::token_mint(double rate, std::uint64_t burst, steady_time now)
     : rate_{rate}
     , burst_{static_cast<nano_tokens>(burst) * whole_token}
     , available_{burst_}
     , last_{now}
-    , next_id_{std::max<std::uint64_t>(first_id, 1)}
 {
 }
 
-token_mint::token_mint(double rate, std::uint64_t burst, const mint_copy& copy, std::uint64_t first_id)
-    : rate_{rate}
-    , burst_{static_cast<nano_tokens>(burst) * whole_token}
+token_mint::token_mint(const mint_copy& copy)
+    : rate_{copy.rate}
+    , burst_{static_cast<nano_tokens>(copy.burst) * whole_token}
     , outstanding_{copy.outstanding}
     , last_{copy.recorded}
-    , next_id_{std::max<std::uint64_t>(first_id, 1)}
 {
     available_ = std::min(copy.available, std::max<nano_tokens>(0, burst_ - outstanding_));
     if (outstanding_ > 0) {
@@ -40,11 +38,9 @@
     }
 }
 
-token_mint token_mint::after_loss(double rate, std::uint64_t burst, steady_time lost_at,
-                                  std::uint64_t first_id)
+token_mint token_mint::after_loss(double rate, std::uint64_t burst, steady_time lost_at)
 {
-    const mint_copy worst{0, static_cast<nano_tokens>(burst) * whole_token, lost_at};
-    return {rate, burst, worst, first_id};
+    return token_mint{mint_copy{0, static_cast<nano_tokens>(burst) * whole_token, rate, burst, lost_at}};
 }
 
 void token_mint::accrue(steady_time until)
@@ -165,7 +161,7 @@
 mint_copy token_mint::copy(steady_time now)
 {
     advance(now);
-    return {available_, outstanding_, now};
+    return {available_, outstanding_, rate_, static_cast<std::uint64_t>(burst_ / whole_token), now};
 }
 
 } // namespace wagtailhatch
