--- a/include/config/configuration.h
+++ b/include/config/configuration.h
@@ -16,6 +16,8 @@
 struct key_config {
     std::string sha256; ///< 64 lower-case hexadecimal digits.
     bool withdrawn = false;
+
+    bool operator==(const key_config&) const = default;
 };
 
 struct workspace_config {
@@ -24,6 +26,8 @@
     double burst = 0; ///< Requests.
     std::string home; ///< Data centre that answers for its run-once requests; empty: chosen by hash.
     std::vector<key_config> keys;
+
+    bool operator==(const workspace_config&) const = default;
 };
 
 /// Maps requests at the entry to a service.
@@ -38,6 +42,8 @@
     bool idempotent = true; ///< May be tried again after an unknown outcome.
     std::chrono::milliseconds timeout{1000};
     std::size_t max_body = std::size_t{1} << 20; ///< Bytes.
+
+    bool operator==(const route_config&) const = default;
 };
 
 struct service_config {
@@ -45,12 +51,16 @@
     std::vector<std::string> calls; ///< Services that its targets call.
     std::uint32_t slots = 0;        ///< Requests that a target runs at once; 0: found by measurement alone.
     std::uint32_t connections = 0;  ///< Connections that a target accepts; 0: no bound known.
+
+    bool operator==(const service_config&) const = default;
 };
 
 struct data_centre_config {
     std::string name;
     double weight = 1; ///< Its part of each workspace's rate and burst, relative to the others.
     bool lost = false; ///< Its instances no longer run; it does not confirm re-weighting.
+
+    bool operator==(const data_centre_config&) const = default;
 };
 
 /// The operators' accepted configuration as one data centre sees it. Immutable once published.
@@ -64,6 +74,8 @@
     std::map<std::string, service_config> services;
     std::map<std::string, workspace_config> workspaces;
     std::vector<route_config> routes;
+
+    bool operator==(const configuration&) const = default;
 };
 
 } // namespace wagtailhatch
--- /dev/null
+++ b/tests/config/examples_test.cpp
@@ -0,0 +1,50 @@
+#include "include/config/config_documents.h"
+#include "include/config/key_index.h"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <iterator>
+#include <map>
+
+using namespace wagtailhatch;
+
+namespace {
+
+std::string text_of(const std::string& name)
+{
+    std::ifstream in{std::string{WH_SOURCE_DIR} + "/example/" + name};
+    REQUIRE(in);
+    return {std::istreambuf_iterator<char>{in}, {}};
+}
+
+} // namespace
+
+// Guards against examples that no longer fit the parser or their demo keys.
+TEST_CASE("the examples are valid and their demo keys work")
+{
+    const std::map<std::string, std::vector<std::string>> examples{
+        {"wrapline", {"bne1", "bne2", "bne3", "bne4"}}, {"lavakorpi", {"hel", "tre", "oul"}}};
+    for (const auto& [name, data_centres] : examples) {
+        document_set documents{{"base", text_of(name + "/base.yaml")}};
+        for (const auto& dc : data_centres) {
+            documents["overlay/" + dc] = text_of(name + "/overlay-" + dc + ".yaml");
+        }
+        for (const auto& dc : data_centres) {
+            const auto config = load_configuration(documents, dc, 1);
+            REQUIRE(config);
+            const key_index keys{*config};
+            std::ifstream in{std::string{WH_SOURCE_DIR} + "/example/" + name + "/demo-keys.txt"};
+            std::string workspace;
+            std::string key;
+            std::size_t count = 0;
+            while (in >> workspace >> key) {
+                const auto match = keys.find(key);
+                REQUIRE(match.status == key_status::valid);
+                CHECK(match.workspace->name == workspace);
+                ++count;
+            }
+            CHECK(count == 8);
+        }
+    }
+}
