Use group membership, logging and trace contexts in the node

Cause: the interim table directory read all rows twice a second from every node, which 13,000 nodes cannot do. Ruled out: keeping it as a fallback; membership joins without the table by itself. Change: the control plane runs the membership service over UDP and tells traffic which incarnations have ended; the table directory and the second trace header parser are removed; records go through the logging module.

--- a/include/config/node_settings.h
+++ b/include/config/node_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/config/finding.h"
+#include "include/observe/logging.h"
 #include "include/peer/peer_transport.h"
 
 #include <chrono>
@@ -17,8 +18,6 @@
     std::uint16_t port = 0; ///< 0: chosen by the system.
 };
 
-enum class log_level : std::uint8_t { debug, info, warning, error };
-
 /// Settings of one node process. They come from the file that starts the process and never change while it
 /// runs. docs/configuration.md lists the fields and their defaults.
 struct node_settings {
--- a/include/core/result.h
+++ b/include/core/result.h
@@ -22,18 +22,20 @@
 template <typename T>
 class [[nodiscard]] result {
 public:
+    // NOLINTBEGIN(google-explicit-constructor): functions return a value, an error or a code.
     result(T value)
         : state_{std::in_place_index<0>, std::move(value)}
     {
-    } // NOLINT(google-explicit-constructor)
+    }
     result(error e)
         : state_{std::in_place_index<1>, std::move(e)}
     {
-    } // NOLINT(google-explicit-constructor)
+    }
     result(errc code)
         : result{wagtailhatch::error{make_error_code(code), {}}}
     {
-    } // NOLINT(google-explicit-constructor)
+    }
+    // NOLINTEND(google-explicit-constructor)
 
     explicit operator bool() const { return state_.index() == 0; }
     bool has_value() const { return state_.index() == 0; }
--- a/src/node/call_server.cpp
+++ b/src/node/call_server.cpp
@@ -1,8 +1,8 @@
 #include "src/node/call_server.h"
 
+#include "include/observe/trace_parent.h"
 #include "src/node/call_router.h"
 #include "src/node/header_filter.h"
-#include "src/node/trace.h"
 
 #include <xxhash.h>
 
--- a/src/node/entry_handler.cpp
+++ b/src/node/entry_handler.cpp
@@ -1,11 +1,11 @@
 #include "src/node/entry_handler.h"
 
+#include "include/observe/trace_parent.h"
 #include "include/ownership/slot_service.h"
 #include "src/node/call_router.h"
 #include "src/node/caller_response.h"
 #include "src/node/header_filter.h"
 #include "src/node/order_codec.h"
-#include "src/node/trace.h"
 
 #include <algorithm>
 #include <charconv>
@@ -135,8 +135,9 @@
     m.idempotent = route->idempotent && !route->run_once;
     m.context.level = route->level;
     m.context.deadline = clock_.now() + requested_timeout(request.headers, route->timeout);
-    const auto parent = read_traceparent(request.headers);
-    m.context.trace = child_span(parent, random_);
+    const auto* traceparent = find_header(request.headers, "traceparent");
+    const auto parent = traceparent == nullptr ? std::nullopt : parse_traceparent(*traceparent);
+    m.context.trace = parent ? child_span(*parent, random_) : new_trace(random_, false);
     filter_request_headers(request.headers);
     m.request = std::move(request);
     return m;
--- a/src/node/local_control_plane.cpp
+++ b/src/node/local_control_plane.cpp
@@ -1,19 +1,25 @@
 #include "include/config/config_sync.h"
 #include "include/http/http_client.h"
+#include "include/membership/membership_service.h"
+#include "include/observe/logging.h"
+#include "include/peer/make_datagram_transport.h"
 #include "include/platform/http_object_store.h"
 #include "include/platform/http_table_service.h"
 #include "src/node/control_plane.h"
-#include "src/node/table_directory.h"
 
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
+#include <map>
 #include <utility>
 
 namespace wagtailhatch {
 namespace {
 
 constexpr auto tick_interval = std::chrono::milliseconds{100};
-constexpr auto refresh_interval = std::chrono::milliseconds{500};
+constexpr duration status_interval = std::chrono::milliseconds{500};
+// With few services a node follows all of them, so that any node is a useful entry for every route.
+constexpr std::size_t follow_all_up_to = 16;
 
 class local_control_plane final : public control_plane {
 public:
@@ -24,6 +30,7 @@
         , random_{seed}
         , updates_{std::move(updates)}
         , timer_{io}
+        , leave_timer_{io}
         , address_{advertised}
     {
     }
@@ -37,34 +44,53 @@
         client_ = std::move(*client);
         table_ = make_http_table_service(*client_, settings_.platform);
         objects_ = make_http_object_store(*client_, settings_.platform);
+        datagram_options options;
+        options.listen_address = settings_.peers.ip;
+        options.port = port_of(address_);
+        options.advertised_address = address_;
+        options.secret = settings_.peer_secret;
+        options.incarnation = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(clock_.wall_now().time_since_epoch())
+                .count());
+        auto datagrams = make_datagram_transport(io, clock_, options);
+        if (!datagrams) {
+            return error{datagrams.failure().code, "setting peers (UDP): " + datagrams.failure().detail};
+        }
+        datagrams_ = std::move(*datagrams);
         return true;
     }
 
     void start() override
     {
-        member self;
-        self.id = settings_.instance;
-        self.service = settings_.service;
-        self.data_centre = settings_.data_centre;
-        self.address = address_;
-        directory_ = std::make_unique<table_directory>(
-            *table_, self, [this](const std::shared_ptr<const member_lists>& lists) { publish(lists); });
-        directory_->join([this](std::uint64_t incarnation) {
-            updates_.activate({settings_.instance, incarnation, address_});
-            directory_->refresh();
-        });
+        membership_options options;
+        options.id = settings_.instance;
+        options.service = settings_.service;
+        options.data_centre = settings_.data_centre;
+        options.address = address_;
+        options.seeds = settings_.seeds;
+        membership_ = std::make_unique<membership_service>(options, clock_, random_, *datagrams_, *table_);
+        membership_->on_change(
+            [this](const std::shared_ptr<const membership_view>& view) { publish(*view); });
+        membership_->start();
         start_configuration();
         tick();
     }
 
-    void follow(const std::string&) override {}
+    void follow(const std::string& service) override
+    {
+        if (service != settings_.service) {
+            membership_->follow(service);
+        }
+    }
 
     void target_changed(bool ready, bool draining) override
     {
-        set_state(draining ? member_state::leaving : ready ? member_state::ready : member_state::joining);
+        if (!leaving_) {
+            set_state(draining ? member_state::leaving : ready ? member_state::ready : member_state::joining);
+        }
     }
 
-    void peer_lost(const peer_address&) override {}
+    void peer_lost(const peer_address& address) override { membership_->report_unreachable(address); }
 
     void config_request(const std::string& payload, std::function<void(std::string)> respond) override
     {
@@ -73,19 +99,37 @@
         }
     }
 
-    void announce_leaving() override { set_state(member_state::leaving); }
+    void announce_leaving() override
+    {
+        leaving_ = true;
+        set_state(member_state::leaving);
+    }
 
-    void leave(duration, std::function<void()> done) override
+    void leave(duration limit, std::function<void()> done) override
     {
-        directory_->set_state(member_state::left, std::move(done));
+        const auto once = std::make_shared<std::function<void()>>(std::move(done));
+        const auto finish = [once] {
+            if (auto f = std::exchange(*once, nullptr)) {
+                f();
+            }
+        };
+        membership_->leave([finish](bool) { finish(); });
+        leave_timer_.expires_after(limit);
+        leave_timer_.async_wait([finish](const std::error_code&) { finish(); });
     }
 
 private:
+    static std::uint16_t port_of(const peer_address& address)
+    {
+        return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+    }
+
     void set_state(member_state state)
     {
+        membership_->set_state(state);
+        log(log_level::info, "state changed", {{"state", to_string(state)}});
         status_.membership = to_string(state);
         updates_.status_changed(status_);
-        directory_->set_state(state, [this] { directory_->refresh(); });
     }
 
     void start_configuration()
@@ -93,35 +137,74 @@
         config_sync_options options;
         options.self = {settings_.instance, settings_.data_centre, address_};
         options.seeds = settings_.seeds;
-        sync_ = std::make_unique<config_sync>(options, clock_, random_, updates_.send_config, *table_,
-                                              *objects_, [this](std::shared_ptr<const configuration> config) {
-                                                  updates_.configuration_changed(std::move(config));
-                                              });
+        sync_ = std::make_unique<config_sync>(
+            options, clock_, random_, updates_.send_config, *table_, *objects_,
+            [this](std::shared_ptr<const configuration> config) { apply(std::move(config)); });
         sync_->on_stale([this](bool stale) { updates_.stale_changed(stale); });
         sync_->start();
     }
 
-    void publish(const std::shared_ptr<const member_lists>& lists)
+    void apply(std::shared_ptr<const configuration> config)
     {
+        log(log_level::info, "configuration in force", {{"version", config->version}});
+        const auto own = config->services.find(settings_.service);
+        for (const auto& [name, service] : config->services) {
+            const bool called = own != config->services.end() &&
+                                std::find(own->second.calls.begin(), own->second.calls.end(), name) !=
+                                    own->second.calls.end();
+            if (called || config->services.size() <= follow_all_up_to) {
+                follow(name);
+            }
+        }
+        updates_.configuration_changed(std::move(config));
+    }
+
+    void publish(const membership_view& view)
+    {
+        auto lists = std::make_shared<member_lists>(view.services);
         std::vector<config_peer> peers;
         for (const auto& [service, members] : *lists) {
             for (const auto& m : members) {
-                if (m.id != settings_.instance) {
+                note_ended(m);
+                const bool live = m.state != member_state::dead && m.state != member_state::left;
+                if (live && m.id != settings_.instance) {
                     peers.push_back({m.id, m.data_centre, m.address});
                 }
             }
         }
         sync_->set_peers(std::move(peers));
-        updates_.members_changed(lists);
+        updates_.members_changed(std::move(lists));
+    }
+
+    // A member that left, or an incarnation that another one replaced, cannot act any more.
+    void note_ended(const member& m)
+    {
+        auto& known = incarnations_[m.id];
+        if (known != 0 && m.incarnation > known) {
+            updates_.instance_ended(m.id, known);
+        }
+        known = std::max(known, m.incarnation);
+        if (m.state == member_state::left) {
+            updates_.instance_ended(m.id, m.incarnation);
+        }
     }
 
     void tick()
     {
+        membership_->tick();
         sync_->tick();
+        if (!active_ && membership_->joined()) {
+            active_ = true;
+            updates_.activate({settings_.instance, membership_->self().incarnation, address_});
+            log(log_level::info, "joined", {{"incarnation", membership_->self().incarnation}});
+        }
+        if (!leaving_ && membership_->superseded()) {
+            log(log_level::error, "another process has taken over this instance id; refusing new work");
+            announce_leaving();
+        }
         const auto now = clock_.now();
-        if (now - refreshed_ > refresh_interval) {
-            refreshed_ = now;
-            directory_->refresh();
+        if (now - reported_ > status_interval) {
+            reported_ = now;
             report_status();
         }
         timer_.expires_after(tick_interval);
@@ -147,14 +230,19 @@
     random_source random_;
     traffic_updates updates_;
     asio::steady_timer timer_;
+    asio::steady_timer leave_timer_;
     peer_address address_;
     std::unique_ptr<http_client> client_;
     std::unique_ptr<table_service> table_;
     std::unique_ptr<object_store> objects_;
-    std::unique_ptr<table_directory> directory_;
+    std::unique_ptr<datagram_transport> datagrams_;
+    std::unique_ptr<membership_service> membership_;
+    std::map<std::string, std::uint64_t> incarnations_; ///< Highest seen, by instance id.
     std::unique_ptr<config_sync> sync_;
     control_status status_{0, "joining", {}, 0, 0};
-    steady_time refreshed_{};
+    steady_time reported_{};
+    bool active_ = false;
+    bool leaving_ = false;
 };
 
 } // namespace
--- a/src/node/outgoing_handler.cpp
+++ b/src/node/outgoing_handler.cpp
@@ -1,12 +1,12 @@
 #include "src/node/outgoing_handler.h"
 
+#include "include/observe/trace_parent.h"
 #include "include/ownership/slot_service.h"
 #include "src/node/call_router.h"
 #include "src/node/call_server.h"
 #include "src/node/caller_response.h"
 #include "src/node/header_filter.h"
 #include "src/node/order_codec.h"
-#include "src/node/trace.h"
 
 #include <algorithm>
 #include <utility>
--- a/tools/wagtailhatch_node/main.cpp
+++ b/tools/wagtailhatch_node/main.cpp
@@ -1,5 +1,6 @@
 #include "include/config/node_settings.h"
 #include "include/core/clock.h"
+#include "include/observe/logging.h"
 #include "src/node/node_supervisor.h"
 
 #include <absl/flags/flag.h>
@@ -47,6 +48,7 @@
         std::cerr << wagtailhatch::to_string(settings.findings);
         return exit_settings;
     }
+    wagtailhatch::setup_logging(settings.value->level);
     const auto signals = block_stop_signals();
     const wagtailhatch::system_clock_source time;
     wagtailhatch::node_supervisor node{time, *settings.value};
