--- a/include/core/outcome.h
+++ b/include/core/outcome.h
@@ -43,16 +43,17 @@
     outcome_unknown,
     starting,
     cancelled,
-    invalid_handle, ///< A call of a target without the handle of a live request.
-    already_run,    ///< Run before; the answer was not kept.
+    invalid_handle,   ///< A call of a target without the handle of a live request.
+    rate_unavailable, ///< No mint of the workspace's rate could be reached.
+    already_run,      ///< Run before; the answer was not kept.
 };
 
-constexpr std::array<std::string_view, 22> refusal_reason_names{
-    "none",           "over-rate",     "overload",        "no-target",   "leaving",
-    "quarantined",    "deadline",      "connection-lost", "unknown-key", "withdrawn-key",
-    "key-required",   "unknown-route", "too-large",       "malformed",   "idempotency-key-required",
-    "replayed",       "in-progress",   "outcome-unknown", "starting",    "cancelled",
-    "invalid-handle", "already-run"};
+constexpr std::array<std::string_view, 23> refusal_reason_names{
+    "none",           "over-rate",        "overload",        "no-target",   "leaving",
+    "quarantined",    "deadline",         "connection-lost", "unknown-key", "withdrawn-key",
+    "key-required",   "unknown-route",    "too-large",       "malformed",   "idempotency-key-required",
+    "replayed",       "in-progress",      "outcome-unknown", "starting",    "cancelled",
+    "invalid-handle", "rate-unavailable", "already-run"};
 
 constexpr std::string_view to_string(refusal_reason r)
 {
--- a/src/node/caller_response.cpp
+++ b/src/node/caller_response.cpp
@@ -49,7 +49,8 @@
 {
     return reason == refusal_reason::over_rate || reason == refusal_reason::overload ||
            reason == refusal_reason::no_target || reason == refusal_reason::leaving ||
-           reason == refusal_reason::quarantined || reason == refusal_reason::starting;
+           reason == refusal_reason::quarantined || reason == refusal_reason::rate_unavailable ||
+           reason == refusal_reason::starting;
 }
 
 } // namespace
--- a/src/node/entry_handler.cpp
+++ b/src/node/entry_handler.cpp
@@ -7,6 +7,8 @@
 #include "src/node/header_filter.h"
 #include "src/node/order_codec.h"
 
+#include <asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -26,6 +28,9 @@
 namespace {
 
 constexpr std::size_t max_idempotency_key = 256;
+// A pair that loses a member is whole again within about a second while the table answers.
+constexpr duration mint_patience = std::chrono::seconds{2};
+constexpr duration mint_retry = std::chrono::milliseconds{25};
 
 // The caller may only shorten the route's timeout.
 duration requested_timeout(const http_headers& headers, std::chrono::milliseconds most)
@@ -41,9 +46,10 @@
 
 } // namespace
 
-entry_handler::entry_handler(const clock& time, random_source& random, call_router& router,
-                             slot_service& slots)
-    : clock_{time}
+entry_handler::entry_handler(asio::io_context& io, const clock& time, random_source& random,
+                             call_router& router, slot_service& slots)
+    : io_{io}
+    , clock_{time}
     , random_{random}
     , router_{router}
     , slots_{slots}
@@ -79,19 +85,36 @@
         after_token(r);
         return;
     }
+    take_token(r);
+}
+
+void entry_handler::take_token(const request_ptr& r)
+{
+    const std::weak_ptr<int> alive = alive_;
     slots_.take_token(r->message.context.workspace, [this, alive, r](const take_result& taken) {
-        if (alive.expired()) {
+        if (alive.expired() || r->ended) {
             return;
         }
         if (taken.granted) {
             after_token(r);
-            return;
         }
-        call_reply reply;
-        reply.result = outcome::not_run;
-        reply.reason = refusal_reason::over_rate;
-        reply.retry_after = std::chrono::ceil<std::chrono::milliseconds>(taken.retry_after);
-        end(r, std::move(reply));
+        else if (!taken.mint_reached && clock_.now() - r->started < mint_patience &&
+                 clock_.now() + mint_retry < r->message.context.deadline) {
+            // A slot is changing hands. Refusing now would refuse a request that is within its rate.
+            auto timer = std::make_shared<asio::steady_timer>(io_, mint_retry);
+            timer->async_wait([this, alive, r, timer](const std::error_code&) {
+                if (!alive.expired()) {
+                    take_token(r);
+                }
+            });
+        }
+        else {
+            call_reply reply;
+            reply.result = outcome::not_run;
+            reply.reason = taken.mint_reached ? refusal_reason::over_rate : refusal_reason::rate_unavailable;
+            reply.retry_after = std::chrono::ceil<std::chrono::milliseconds>(taken.retry_after);
+            end(r, std::move(reply));
+        }
     });
 }
 
--- a/src/node/entry_handler.h
+++ b/src/node/entry_handler.h
@@ -6,6 +6,8 @@
 #include "src/node/call_message.h"
 #include "src/node/traffic_config.h"
 
+#include <asio/io_context.hpp>
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -14,6 +16,8 @@
 
 class call_router;
 class slot_service;
+struct run_once_order;
+struct run_once_result;
 
 /// Serves the callers listener: finds the route, checks the key, takes a token of the workspace's rate and
 /// starts the call. Traffic thread only.
@@ -22,7 +26,8 @@
     /// Runs when a request of a caller ends, for metrics and spans.
     using observer = std::function<void(const call_message&, steady_time started, const http_response&)>;
 
-    entry_handler(const clock& time, random_source& random, call_router& router, slot_service& slots);
+    entry_handler(asio::io_context& io, const clock& time, random_source& random, call_router& router,
+                  slot_service& slots);
     ~entry_handler();
     entry_handler(const entry_handler&) = delete;
     entry_handler& operator=(const entry_handler&) = delete;
@@ -38,8 +43,8 @@
     void handle(const std::shared_ptr<http_exchange>& exchange);
 
     /// Runs a run-once order at its home, as slot_service's runner.
-    void run_order(const struct run_once_order& order, steady_time deadline,
-                   std::function<void(struct run_once_result)> done);
+    void run_order(const run_once_order& order, steady_time deadline,
+                   std::function<void(run_once_result)> done);
 
     std::size_t in_flight() const { return in_flight_; }
 
@@ -49,10 +54,12 @@
 
     result<call_message> admit(http_request& request, refusal_reason& refusal);
     refusal_reason check_key(const http_request& request, const route_config& route, std::string& workspace);
+    void take_token(const request_ptr& r);
     void after_token(const request_ptr& r);
     void start_order(const request_ptr& r);
     void end(const request_ptr& r, call_reply reply);
 
+    asio::io_context& io_;
     const clock& clock_;
     random_source& random_;
     call_router& router_;
--- a/src/node/local_traffic_plane.cpp
+++ b/src/node/local_traffic_plane.cpp
@@ -157,7 +157,7 @@
     }
     message_sender& sender = *this;
     slots_ = std::make_unique<slot_service>(options, self, *table_, sender, clock_, random_);
-    entry_ = std::make_unique<entry_handler>(clock_, random_, *router_, *slots_);
+    entry_ = std::make_unique<entry_handler>(io_, clock_, random_, *router_, *slots_);
     outgoing_ = std::make_unique<outgoing_handler>(clock_, random_, *router_, *server_, *slots_);
     slots_->set_runner(
         [this](const run_once_order& order, steady_time deadline, std::function<void(run_once_result)> done) {
