Wait for slot owners before the process tests send requests

Cause: on a busy machine the first request came before any mint had an owner and got 503 rate-unavailable. Ruled out: a longer wait at the entry, which would hide a mint that is really lost. Change: the fixture's readiness includes that every slot of each data centre has an owner. Conclusion: the check of the answers is unchanged.

--- a/tests/system/deployment.cpp
+++ b/tests/system/deployment.cpp
@@ -4,6 +4,7 @@
 #include "include/platform/http_object_store.h"
 #include "include/platform/http_table_service.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -20,6 +21,9 @@
     return std::string{WH_BINARY_DIR} + "/" + name;
 }
 
+// Of each data centre; the default of the base file.
+constexpr std::size_t slots = 8;
+
 std::string make_folder()
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "wh-test-XXXXXX").string();
@@ -206,6 +210,7 @@
         ++expected[i.service];
     }
     return eventually([&] {
+        std::map<std::string, std::size_t> owned;
         for (const auto& [id, i] : instances_) {
             const auto s = status(i);
             if (!s.is_object() || s.value("version", std::uint64_t{0}) < version || !s.contains("usable")) {
@@ -216,8 +221,11 @@
                     return false;
                 }
             }
+            if (s.contains("slots")) {
+                owned[s.value("data_centre", "")] += s["slots"]["owned"].size();
+            }
         }
-        return true;
+        return std::all_of(owned.begin(), owned.end(), [](const auto& o) { return o.second == slots; });
     });
 }
 
--- a/tests/system/failure_test.cpp
+++ b/tests/system/failure_test.cpp
@@ -69,7 +69,7 @@
 }
 
 // Guards against an order that runs again at another node, another data centre or after its home died.
-TEST_CASE("an order runs once, whichever node gets it and whichever dies")
+TEST_CASE("an order runs once whichever node gets it and whichever dies")
 {
     deployment d;
     start(d);
