--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -251,7 +251,8 @@
     fixture f{[](std::size_t) { return raw_server::action{whole, false}; }};
     auto call = make_call(f.server.address(), "POST", "/x", std::string(3000, 'b'));
     call.request.headers = {{"X-Empty", ""}, {"traceparent", "00-1-2-01"}, {"Connection", "upgrade"}};
-    REQUIRE(complete(f.io, *f.client, std::move(call)).ok);
+    const auto result = complete(f.io, *f.client, std::move(call));
+    REQUIRE(result.ok);
     ::unsetenv("http_proxy");
     ::unsetenv("ALL_PROXY");
     const auto& sent = f.server.received(0);
