Replace deficit round robin by start-time fair queueing

Cause of the low share of small workspaces at 3x from all alike: their single requests aged out while large workspaces had their turns. Weights by fair queueing cost a search over the waiting workspaces for each start.

--- a/include/admission/request_queue.h
+++ b/include/admission/request_queue.h
@@ -17,7 +17,7 @@
 
 struct request_queue_options {
     bool ageing = true; ///< Drops entries that waited too long under standing overload.
-    bool fair = true;   ///< Round robin between workspaces; off: one queue for each class.
+    bool fair = true;   ///< Shares by weight between workspaces; off: one queue for each class.
     duration target_wait = std::chrono::milliseconds{50};
     /// A wait above target for this long is a standing one. With 100 ms, the burst that one workspace may
     /// send got 0.26% of the requests of others refused.
@@ -31,8 +31,8 @@
     steady_time enqueued{};
 };
 
-/// Waiting requests of one target: classes in strict order, within a class deficit round robin between
-/// workspaces, within a workspace by arrival.
+/// Waiting requests of one target: classes in strict order, within a class start-time fair queueing
+/// between workspaces, within a workspace by arrival.
 /// Bounded by the caller through evict_for().
 class request_queue {
 public:
@@ -70,13 +70,14 @@
 private:
     struct flow {
         std::deque<queued_request> entries;
-        double deficit = 0;
+        double start_tag = 0; ///< Virtual time at which its next request may start.
         std::uint32_t workspace = 0;
         bool active = false;
     };
     struct class_queue {
         std::vector<flow> flows;            ///< By workspace index.
         std::deque<std::uint32_t> rotation; ///< Indices of flows with entries.
+        double virtual_time = 0;
         std::size_t size = 0;
         steady_time above_since{};
         steady_time last_above{};
@@ -96,7 +97,6 @@
     request_queue_options options_;
     string_map<std::uint32_t> index_;
     std::vector<double> weights_;
-    double smallest_weight_ = 1;
     std::array<class_queue, importance_count> classes_;
     std::unordered_map<std::uint64_t, std::pair<std::uint8_t, std::uint32_t>> where_;
     std::size_t size_ = 0;
--- a/src/admission/request_queue.cpp
+++ b/src/admission/request_queue.cpp
@@ -5,8 +5,6 @@
 namespace wagtailhatch {
 namespace {
 
-// Largest number of requests that one workspace starts in a row, whatever its weight.
-constexpr double max_quantum = 64;
 // Under standing overload entries leave at this multiple of the target wait.
 constexpr int max_age_factor = 2;
 
@@ -27,7 +25,6 @@
     }
     const auto index = static_cast<std::uint32_t>(weights_.size());
     weights_.push_back(1.0);
-    smallest_weight_ = std::min(smallest_weight_, 1.0);
     index_.emplace(std::string{workspace}, index);
     return index;
 }
@@ -36,7 +33,6 @@
 {
     const auto index = index_of(workspace);
     weights_.at(index) = options_.fair ? std::max(weight, 1e-6) : 1.0;
-    smallest_weight_ = *std::min_element(weights_.begin(), weights_.end());
 }
 
 request_queue::flow& request_queue::flow_of(class_queue& c, std::uint32_t workspace)
@@ -56,7 +52,7 @@
     f.entries.push_back(request);
     if (!f.active) {
         f.active = true;
-        f.deficit = 0;
+        f.start_tag = std::max(f.start_tag, c.virtual_time);
         c.rotation.push_back(index);
     }
     where_[request.id] = {static_cast<std::uint8_t>(request.level), index};
@@ -68,18 +64,16 @@
 {
     if (f.entries.empty() && f.active) {
         f.active = false;
-        f.deficit = 0;
         c.rotation.erase(std::find(c.rotation.begin(), c.rotation.end(), f.workspace));
     }
 }
 
 request_queue::flow* request_queue::next_flow(class_queue& c)
 {
-    auto& first = c.flows[c.rotation.front()];
-    if (first.deficit < 1) {
-        first.deficit += std::clamp(weight_of(first.workspace) / smallest_weight_, 1.0, max_quantum);
-    }
-    return &first;
+    const auto it = std::min_element(c.rotation.begin(), c.rotation.end(), [&c](auto a, auto b) {
+        return c.flows[a].start_tag < c.flows[b].start_tag;
+    });
+    return &c.flows[*it];
 }
 
 std::optional<queued_request> request_queue::pop(steady_time now)
@@ -92,11 +86,8 @@
         auto& f = *next_flow(c);
         const queued_request request = f.entries.front();
         f.entries.pop_front();
-        f.deficit -= 1;
-        if (f.deficit < 1 && !f.entries.empty()) {
-            c.rotation.pop_front();
-            c.rotation.push_back(f.workspace);
-        }
+        c.virtual_time = f.start_tag;
+        f.start_tag += 1 / weight_of(f.workspace);
         deactivate_if_empty(c, f);
         where_.erase(request.id);
         --c.size;
@@ -125,8 +116,10 @@
 
 request_queue::flow* request_queue::heaviest_flow(class_queue& c)
 {
+    // One entry counts nothing: it is more than its share for every small workspace, and without this rule
+    // small workspaces were evicted first.
     const auto load = [this, &c](std::uint32_t i) {
-        return static_cast<double>(c.flows[i].entries.size()) / weight_of(i);
+        return static_cast<double>(c.flows[i].entries.size() - 1) / weight_of(i);
     };
     const auto it = std::max_element(c.rotation.begin(), c.rotation.end(),
                                      [&](auto a, auto b) { return load(a) < load(b); });
@@ -152,8 +145,8 @@
         const auto index = index_of(workspace);
         auto& own = flow_of(c, index);
         f = heaviest_flow(c); // flow_of() may have moved the flows.
-        const double own_load = static_cast<double>(own.entries.size() + 1) / weight_of(index);
-        const double most = static_cast<double>(f->entries.size()) / weight_of(f->workspace);
+        const double own_load = static_cast<double>(own.entries.size()) / weight_of(index);
+        const double most = static_cast<double>(f->entries.size() - 1) / weight_of(f->workspace);
         if (own_load >= most) {
             return std::nullopt;
         }
@@ -216,7 +209,6 @@
         std::erase_if(c.rotation, [&c](std::uint32_t index) {
             auto& f = c.flows[index];
             f.active = !f.entries.empty();
-            f.deficit = f.active ? f.deficit : 0;
             return !f.active;
         });
     }
@@ -235,7 +227,6 @@
             all.insert(all.end(), f.entries.begin(), f.entries.end());
             f.entries.clear();
             f.active = false;
-            f.deficit = 0;
         }
         c.rotation.clear();
         c.size = 0;
