--- a/include/admission/request_queue.h
+++ b/include/admission/request_queue.h
@@ -44,7 +44,7 @@
     void push(const queued_request& request, std::string_view workspace);
 
     /// The next to start, or nothing.
-    std::optional<queued_request> pop(steady_time now);
+    std::optional<queued_request> pop();
 
     bool remove(std::uint64_t id);
 
--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -155,7 +155,7 @@
 void admission_controller::start_waiting(steady_time now)
 {
     while (running_.size() < limit() && queue_.size() > 0) {
-        const auto next = queue_.pop(now);
+        const auto next = queue_.pop();
         if (next->deadline <= now) {
             shedding_.on_refusal(now);
             pending_.refuse.push_back({next->id, refusal_reason::deadline});
--- a/src/admission/request_queue.cpp
+++ b/src/admission/request_queue.cpp
@@ -76,13 +76,12 @@
     return &c.flows[*it];
 }
 
-std::optional<queued_request> request_queue::pop(steady_time now)
+std::optional<queued_request> request_queue::pop()
 {
     for (auto& c : classes_) {
         if (c.size == 0) {
             continue;
         }
-        update_standing(c, now);
         auto& f = *next_flow(c);
         const queued_request request = f.entries.front();
         f.entries.pop_front();
--- a/tests/admission/request_queue_test.cpp
+++ b/tests/admission/request_queue_test.cpp
@@ -27,10 +27,10 @@
     queue.push(request(1, importance::low), "a");
     queue.push(request(2, importance::critical), "a");
     queue.push(request(3, importance::high), "a");
-    CHECK(queue.pop(start)->id == 2);
-    CHECK(queue.pop(start)->id == 3);
-    CHECK(queue.pop(start)->id == 1);
-    CHECK_FALSE(queue.pop(start));
+    CHECK(queue.pop()->id == 2);
+    CHECK(queue.pop()->id == 3);
+    CHECK(queue.pop()->id == 1);
+    CHECK_FALSE(queue.pop());
 }
 
 // Guards against one workspace's backlog delaying another's few requests.
@@ -45,7 +45,7 @@
     queue.push(request(5000), "small");
     std::map<std::uint64_t, int> served;
     for (int i = 0; i < 41; ++i) {
-        ++served[queue.pop(start)->id / 1000];
+        ++served[queue.pop()->id / 1000];
     }
     CHECK(served[0] == 10);
     CHECK(served[1] == 30);
@@ -67,7 +67,7 @@
     REQUIRE(aged.size() == 2);
     queue.push({3, importance::normal, start + 10s, start + 302ms}, "a");
     queue.sweep(start + 350ms, 0s, expired, aged);
-    CHECK(queue.pop(start + 350ms)->id == 3);
+    CHECK(queue.pop()->id == 3);
 }
 
 // Guards against starting work that cannot finish in time.
@@ -115,7 +115,7 @@
                 inside.insert(next++);
             }
             else if (s % 4 == 2) {
-                out = queue.pop(now);
+                out = queue.pop();
             }
             else {
                 out = queue.evict_for(level, workspace);
