--- a/tests/ownership/slot_faults_test.cpp
+++ b/tests/ownership/slot_faults_test.cpp
@@ -152,6 +152,9 @@
     w.advance(1000 * ms);
 }
 
+// Commands run in all, reported at the end: the length of a run is chosen by RapidCheck.
+int commands_run = 0;
+
 struct model {};
 
 // WH_WEAKNESS=<name> switches a mechanism off, to see that the oracles notice.
@@ -178,6 +181,7 @@
 
     void run(const model& /*m*/, sim::world& w) const override
     {
+        ++commands_run;
         run_step(w, what, a, b);
         w.advance(wait * ms);
         const auto broken = w.violation();
@@ -218,4 +222,5 @@
         s.weak = weakness_from_environment();
         check_faults(s);
     }));
+    WARN("commands run: " << commands_run);
 }
