--- a/src/node/admin_pages.cpp
+++ b/src/node/admin_pages.cpp
@@ -75,6 +75,11 @@
         response.headers.push_back({"Content-Type", "application/json"});
         response.body = status_json() + "\n";
     }
+    else if (target == "/metrics") {
+        telemetry_->set_load(server_->load(), server_->in_flight());
+        response.headers.push_back({"Content-Type", metrics_content_type});
+        response.body = telemetry_->text();
+    }
     else {
         response.status = 404;
     }
--- a/src/node/local_traffic_plane.cpp
+++ b/src/node/local_traffic_plane.cpp
@@ -60,6 +60,7 @@
     target_client_ = std::move(*target_client);
     platform_client_ = std::move(*platform_client);
     table_ = make_http_table_service(*platform_client_, settings_.platform);
+    telemetry_ = std::make_unique<telemetry>(io_, clock_, *platform_client_, settings_);
 
     peer_options peer;
     peer.listen_address = settings_.peers.ip;
@@ -137,6 +138,9 @@
     hooks.cleared = [this](std::uint64_t fingerprint) {
         tell_group(encode(quarantine_message{quarantine_message::kind::cleared, {0, {fingerprint}}}));
     };
+    hooks.served = [this](const call_context& context, steady_time started, const call_reply& reply) {
+        telemetry_->on_served(context, started, reply);
+    };
     server_ = std::make_unique<call_server>(io_, clock_, random_, *target_client_, *router_,
                                             settings_.service, std::move(hooks));
     router_->set_local_server([this](call_message message, std::function<void(call_reply)> respond) {
@@ -159,6 +163,9 @@
     slots_ = std::make_unique<slot_service>(options, self, *table_, sender, clock_, random_);
     entry_ = std::make_unique<entry_handler>(io_, clock_, random_, *router_, *slots_);
     outgoing_ = std::make_unique<outgoing_handler>(clock_, random_, *router_, *server_, *slots_);
+    entry_->set_observer([this](const call_message& m, steady_time started, const http_response& r) {
+        telemetry_->on_entry(m, started, r);
+    });
     slots_->set_runner(
         [this](const run_once_order& order, steady_time deadline, std::function<void(run_once_result)> done) {
             entry_->run_order(order, deadline, std::move(done));
--- a/src/node/local_traffic_plane.h
+++ b/src/node/local_traffic_plane.h
@@ -9,6 +9,7 @@
 #include "src/node/call_server.h"
 #include "src/node/entry_handler.h"
 #include "src/node/outgoing_handler.h"
+#include "src/node/telemetry.h"
 #include "src/node/traffic_plane.h"
 
 #include <asio/steady_timer.hpp>
@@ -65,6 +66,7 @@
     asio::steady_timer tick_timer_;
     std::unique_ptr<http_client> target_client_;
     std::unique_ptr<http_client> platform_client_;
+    std::unique_ptr<telemetry> telemetry_;
     std::unique_ptr<table_service> table_;
     std::unique_ptr<peer_transport> peers_;
     std::unique_ptr<call_router> router_;
