--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -17,7 +17,7 @@
 namespace wagtailhatch {
 namespace {
 
-constexpr std::size_t max_settings_size = 64 * 1024;
+constexpr std::size_t max_settings_size = std::size_t{64} * 1024;
 constexpr std::size_t max_secret_size = 4096;
 constexpr std::size_t least_secret_size = 32;
 constexpr std::array<std::pair<std::string_view, log_level>, 4> log_levels{{{"debug", log_level::debug},
@@ -116,7 +116,7 @@
         if (!text) {
             return std::nullopt;
         }
-        const auto value = split_address(*text);
+        auto value = split_address(*text);
         if (!value || (port_needed && value->port == 0)) {
             read_.report(node, fmt::format("'{}' is not valid for '{}'", *text, field),
                          port_needed ? "write an IP number and a port, for example 127.0.0.1:8080"
