Use the operators' slots as the limit of a target; follow the balancer's interface

Ruled out: making a new controller on each change, which would forget requests in flight. Change: admission_controller::set_slots, called with each configuration; the router follows the balancer's changed calls.

--- a/include/admission/admission_controller.h
+++ b/include/admission/admission_controller.h
@@ -82,6 +82,10 @@
     void set_target_state(target_state state, steady_time now);
     target_state state() const { return state_; }
 
+    /// The operators' number of service slots; 0: the limit is found by measurement. Starts the limit afresh if
+    /// the number is another one.
+    void set_slots(std::uint32_t slots);
+
     /// The target's own load report. It may lag or lie, so it only replaces a limit that nothing was measured
     /// for yet, within the configured maximum.
     void hint_capacity(std::uint32_t slots);
@@ -101,6 +105,7 @@
     std::uint32_t limit() const;
 
     admission_options options_;
+    std::uint32_t slots_ = 0;
     concurrency_limit limit_;
     request_queue queue_;
     shed_controller shedding_;
--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -207,6 +207,16 @@
     state_ = state;
 }
 
+void admission_controller::set_slots(std::uint32_t slots)
+{
+    if (slots == slots_) {
+        return;
+    }
+    slots_ = slots;
+    options_.limit = limit_options_for_slots(slots);
+    limit_ = concurrency_limit{options_.limit};
+}
+
 void admission_controller::hint_capacity(std::uint32_t slots)
 {
     if (finished_ == 0 && slots > 0) {
--- a/src/node/call_router.cpp
+++ b/src/node/call_router.cpp
@@ -16,7 +16,6 @@
 
     // The attempt under way.
     std::string target;
-    steady_time sent_at{};
     std::uint64_t loan = 0;
     bool in_flight = false;
     request_id remote = 0;
@@ -78,7 +77,7 @@
 
 void call_router::set_members(const std::string& service, const std::vector<member>& members)
 {
-    balancer_for(service).set_members(members, clock_.now());
+    balancer_for(service).set_members(members);
 }
 
 void call_router::set_configuration(const configuration& config)
@@ -138,7 +137,6 @@
     c->loan = loan.id;
     c->message.context.retry_tokens = loan.tokens;
     c->target = target.id;
-    c->sent_at = now;
     c->in_flight = true;
     balancer_for(c->message.service).on_sent(target.id, now);
     if (target.id == options_.instance && local_server_) {
@@ -181,13 +179,12 @@
     const auto now = clock_.now();
     c->tokens->give_back(c->loan, reply.retry_tokens);
     auto& service = balancer_for(c->message.service);
-    const auto latency = now - c->sent_at;
     if (reply.result == outcome::unknown) {
         service.on_failure(c->target, call_failure::timeout, now);
     }
     else {
         service.on_answer(c->target, reply.load,
-                          {c->message.route, c->message.context.depth, result_of(reply), latency}, now);
+                          {c->message.route, c->message.context.depth, result_of(reply)}, now);
     }
     if (retry_allowed(c, reply)) {
         attempt(c);
--- a/src/node/call_server.cpp
+++ b/src/node/call_server.cpp
@@ -26,7 +26,7 @@
 namespace {
 
 // Queued calls are examined this often, since waiting ends by time as well as by events.
-constexpr auto poll_interval = std::chrono::milliseconds{2};
+constexpr auto poll_interval = std::chrono::milliseconds{5};
 constexpr auto check_interval = std::chrono::seconds{1};
 constexpr duration probe_timeout = std::chrono::milliseconds{500};
 // Calls that break within this time of each other belong to one death of the target.
@@ -78,8 +78,8 @@
         admission_.set_weight(name, workspace.rate);
     }
     const auto found = config_->services.find(service_);
-    if (found != config_->services.end() && found->second.slots > 0) {
-        admission_.hint_capacity(found->second.slots);
+    if (found != config_->services.end()) {
+        admission_.set_slots(found->second.slots);
     }
 }
 
--- a/tests/admission/admission_controller_test.cpp
+++ b/tests/admission/admission_controller_test.cpp
@@ -153,3 +153,15 @@
         }
     });
 }
+
+// Guards against a node that keeps its default limit when operators state the target's slots.
+TEST_CASE("stated slots become the limit and another number starts it afresh")
+{
+    wagtailhatch::manual_clock time;
+    wagtailhatch::admission_controller controller{wagtailhatch::admission_options{}};
+    controller.set_target_state(wagtailhatch::target_state::ready, time.now());
+    controller.set_slots(7);
+    CHECK(controller.load(time.now()).limit == 7);
+    controller.set_slots(3);
+    CHECK(controller.load(time.now()).limit == 3);
+}
