Release a paused node's held events at the end of a simulated fleet

Cause: held events own their node, so a node that was still paused at the end of a test was never freed; LeakSanitizer reported it after all 9 tests had passed under ASan and UBSan. Change: the fleet's destructor drops held events. Conclusion: only the test's network leaked; no product code changed.

--- a/tests/ownership/simulation.cpp
+++ b/tests/ownership/simulation.cpp
@@ -93,6 +93,17 @@
     after(50 * ms, [this] { offer_load(); });
 }
 
+// Held events own their node.
+world::~world()
+{
+    for (const auto& n : nodes_) {
+        n->held.clear();
+    }
+    for (const auto& n : ended_) {
+        n->held.clear();
+    }
+}
+
 void world::start(int i, std::uint64_t incarnation)
 {
     auto n = std::make_shared<node>(*this, i, incarnation);
--- a/tests/ownership/simulation.h
+++ b/tests/ownership/simulation.h
@@ -96,6 +96,9 @@
 class world {
 public:
     explicit world(settings s);
+    ~world();
+    world(const world&) = delete;
+    world& operator=(const world&) = delete;
 
     void advance(true_time d);
     true_time now() const { return now_; }
