--- a/bench/capacity/decision_rows.cpp
+++ b/bench/capacity/decision_rows.cpp
@@ -13,7 +13,7 @@
 using namespace std::chrono_literals;
 
 constexpr double mib = 1 << 20;
-constexpr int requests = 100'000;
+constexpr std::uint64_t requests = 100'000;
 constexpr double decision_budget_ns = 2000;
 
 void routing(capacity_report& report, std::uint64_t seed)
@@ -34,13 +34,14 @@
         router.set_members(members, now);
         memory.push_back({static_cast<double>(targets), (heap_bytes() - before) / mib});
         const auto start = process_cpu_us();
-        for (int i = 0; i < requests; ++i) {
+        for (std::uint64_t i = 0; i < requests; ++i) {
             now += 3ms;
             const auto pick = router.pick(now);
             router.on_sent(pick.target->id, now);
             router.on_answer(pick.target->id, {}, {"route", 0, call_result::answered, 20ms}, now);
         }
-        ns.push_back({static_cast<double>(targets), (process_cpu_us() - start) * 1000 / requests});
+        ns.push_back({static_cast<double>(targets),
+                      (process_cpu_us() - start) * 1000 / static_cast<double>(requests)});
     }
     report.fitted({"routing.processor", "targets of the service", "ns a request"}, ns, two_year::group,
                   decision_budget_ns);
@@ -80,7 +81,8 @@
                 (void)controller.poll(now);
             }
         }
-        ns.push_back({static_cast<double>(workspaces), (process_cpu_us() - start) * 1000 / requests});
+        ns.push_back({static_cast<double>(workspaces),
+                      (process_cpu_us() - start) * 1000 / static_cast<double>(requests)});
     }
     const std::string unit = "workspaces";
     report.fitted({"admission.processor", unit, "ns a request without a queue"}, ns, two_year::workspaces,
--- a/bench/capacity/slot_fleet.cpp
+++ b/bench/capacity/slot_fleet.cpp
@@ -43,7 +43,7 @@
             done({});
             return;
         }
-        target->service->handle(c, payload, [&f, c, done](std::string answer) {
+        target->service->handle(c, payload, [&f, c, done](const std::string& answer) {
             f.count(c, answer.size());
             f.events_.after(1ms, [answer, done] { done({true, answer, {}}); });
         });
@@ -79,9 +79,10 @@
     options.ownership.data_centre = options.wallet.data_centre = data_centre;
     options.ownership.slots = slots_;
     n->service = std::make_unique<slot_service>(options, self, n->table, *n, events_.time(), n->random);
-    n->service->set_runner([](const run_once_order&, steady_time, std::function<void(run_once_result)> done) {
-        done({outcome::answered, refusal_reason::none, false, std::string(500, 'a')});
-    });
+    n->service->set_runner(
+        [](const run_once_order&, steady_time, const std::function<void(run_once_result)>& done) {
+            done({outcome::answered, refusal_reason::none, false, std::string(500, 'a')});
+        });
     nodes_[i] = n;
     n->service->set_configuration(config_);
 }
--- a/bench/capacity/slot_rows.cpp
+++ b/bench/capacity/slot_rows.cpp
@@ -151,7 +151,7 @@
         manual_clock time;
         std::uint64_t bytes = 0;
         const auto before = heap_bytes();
-        run_once_home home{{}, time, [&](std::string record, const std::function<void(bool)>& done) {
+        run_once_home home{{}, time, [&](const std::string& record, const std::function<void(bool)>& done) {
                                bytes += record.size();
                                if (done) {
                                    done(true);
