--- a/bench/policy/world.h
+++ b/bench/policy/world.h
@@ -68,7 +68,7 @@
     bool open = false; ///< The present attempt has no reply yet.
     bool poison = false;
     bool refused_once = false; ///< Already counted as refused.
-    index root = no_index; ///< Call of the present attempt.
+    index root = no_index;     ///< Call of the present attempt.
     retry_tokens tokens{0};
 };
 
--- a/include/admission/admission_controller.h
+++ b/include/admission/admission_controller.h
@@ -82,8 +82,8 @@
     void set_target_state(target_state state, steady_time now);
     target_state state() const { return state_; }
 
-    /// The operators' number of service slots; 0: the limit is found by measurement. Starts the limit afresh if
-    /// the number is another one.
+    /// The operators' number of service slots; 0: the limit is found by measurement. Starts the limit afresh
+    /// if the number is another one.
     void set_slots(std::uint32_t slots);
 
     /// The target's own load report. It may lag or lie, so it only replaces a limit that nothing was measured
