--- a/bench/capacity/decision_rows.cpp
+++ b/bench/capacity/decision_rows.cpp
@@ -31,14 +31,14 @@
         }
         const auto before = heap_bytes();
         balancer router{{.data_centre = "dc-0"}, random};
-        router.set_members(members, now);
+        router.set_members(members);
         memory.push_back({static_cast<double>(targets), (heap_bytes() - before) / mib});
         const auto start = process_cpu_us();
         for (std::uint64_t i = 0; i < requests; ++i) {
             now += 3ms;
             const auto pick = router.pick(now);
             router.on_sent(pick.target->id, now);
-            router.on_answer(pick.target->id, {}, {"route", 0, call_result::answered, 20ms}, now);
+            router.on_answer(pick.target->id, {}, {"route", 0, call_result::answered}, now);
         }
         ns.push_back({static_cast<double>(targets),
                       (process_cpu_us() - start) * 1000 / static_cast<double>(requests)});
--- a/include/core/call_context.h
+++ b/include/core/call_context.h
@@ -13,6 +13,7 @@
 struct trace_context {
     std::array<std::uint8_t, 16> trace_id{};
     std::array<std::uint8_t, 8> span_id{};
+    std::array<std::uint8_t, 8> parent_id{}; ///< All zero: none, or not known on this node.
     bool sampled = false;
 };
 
--- a/src/node/call_message.cpp
+++ b/src/node/call_message.cpp
@@ -69,7 +69,7 @@
     bounded_output_archive ar{out};
     const auto remaining =
         count_of(std::chrono::duration_cast<std::chrono::microseconds>(m.context.deadline - now));
-    ar(m.service, m.route, m.context.workspace, static_cast<std::uint8_t>(m.context.level), remaining,
+    ar(m.service, m.context.route, m.context.workspace, static_cast<std::uint8_t>(m.context.level), remaining,
        m.context.retry_tokens, m.context.depth, m.context.run_once_key, m.context.fingerprint,
        m.context.trace, m.idempotent, m.first_attempt, m.request);
     return out;
@@ -82,9 +82,9 @@
         std::uint8_t level = 0;
         std::int64_t remaining = 0;
         bounded_input_archive ar{bytes};
-        ar(m.service, m.route, m.context.workspace, level, remaining, m.context.retry_tokens, m.context.depth,
-           m.context.run_once_key, m.context.fingerprint, m.context.trace, m.idempotent, m.first_attempt,
-           m.request);
+        ar(m.service, m.context.route, m.context.workspace, level, remaining, m.context.retry_tokens,
+           m.context.depth, m.context.run_once_key, m.context.fingerprint, m.context.trace, m.idempotent,
+           m.first_attempt, m.request);
         require_end(ar);
         m.context.level = checked_enum<importance>(level, importance_count);
         m.context.deadline =
--- a/src/node/call_message.h
+++ b/src/node/call_message.h
@@ -15,7 +15,6 @@
 /// A request as one node sends it to another. The deadline travels as remaining time.
 struct call_message {
     std::string service;
-    std::string route; ///< Of the entry; groups what the services further down admit.
     call_context context;
     bool idempotent = true;     ///< May be tried again after an unknown outcome.
     bool first_attempt = false; ///< The caller states that it never sent this run-once key before.
--- a/src/node/call_router.cpp
+++ b/src/node/call_router.cpp
@@ -103,7 +103,7 @@
     auto& service = balancer_for(m.service);
     // Only the entry sheds for what lies deeper; every further check would shed again.
     if (m.context.depth == 0 &&
-        service.should_shed(m.route, m.context.level, m.context.workspace, clock_.now())) {
+        service.should_shed(m.context.route, m.context.level, m.context.workspace, clock_.now())) {
         auto reply = failed_reply(outcome::not_run, refusal_reason::overload);
         reply.retry_after = std::chrono::seconds{1};
         finish(c, std::move(reply));
@@ -184,7 +184,7 @@
     }
     else {
         service.on_answer(c->target, reply.load,
-                          {c->message.route, c->message.context.depth, result_of(reply)}, now);
+                          {c->message.context.route, c->message.context.depth, result_of(reply)}, now);
     }
     if (retry_allowed(c, reply)) {
         attempt(c);
--- a/src/node/call_server.cpp
+++ b/src/node/call_server.cpp
@@ -131,7 +131,6 @@
     c->active = std::make_shared<active_call>();
     c->active->context = c->message.context;
     c->active->context.trace = child_span(c->message.context.trace, random_);
-    c->active->route = c->message.route;
     c->active->retries = std::make_shared<retry_tokens>(c->message.context.retry_tokens);
     c->handle = handles_.insert(c->active);
 
@@ -248,7 +247,7 @@
     if (config_) {
         const auto found = config_->services.find(service_);
         if (found != config_->services.end()) {
-            reply.load.path = router_.path_pressure(found->second.calls, c.message.route);
+            reply.load.path = router_.path_pressure(found->second.calls, c.message.context.route);
         }
     }
     return reply;
--- a/src/node/entry_handler.cpp
+++ b/src/node/entry_handler.cpp
@@ -154,13 +154,14 @@
         m.first_attempt = first != nullptr && *first == "1";
     }
     m.service = route->service;
-    m.route = route->name;
+    m.context.route = route->name;
     m.idempotent = route->idempotent && !route->run_once;
     m.context.level = route->level;
     m.context.deadline = clock_.now() + requested_timeout(request.headers, route->timeout);
     const auto* traceparent = find_header(request.headers, "traceparent");
     const auto parent = traceparent == nullptr ? std::nullopt : parse_traceparent(*traceparent);
-    m.context.trace = parent ? child_span(*parent, random_) : new_trace(random_, false);
+    m.context.trace = parent ? child_span(*parent, random_)
+                             : new_trace(random_, sampled_one_in_ > 0 && random_.below(sampled_one_in_) == 0);
     filter_request_headers(request.headers);
     m.request = std::move(request);
     return m;
--- a/src/node/entry_handler.h
+++ b/src/node/entry_handler.h
@@ -35,6 +35,8 @@
     void set_configuration(std::shared_ptr<const traffic_config> config) { config_ = std::move(config); }
     /// While stale, routes that need a key are refused: the node cannot learn of withdrawn keys.
     void set_stale(bool stale) { stale_ = stale; }
+    /// Traces one in so many requests whose caller started no trace; 0: none.
+    void set_sampling(std::uint32_t one_in) { sampled_one_in_ = one_in; }
     void set_observer(observer o) { observer_ = std::move(o); }
 
     /// From now on every request is refused as leaving.
@@ -66,6 +68,7 @@
     slot_service& slots_;
     observer observer_;
     std::shared_ptr<const traffic_config> config_;
+    std::uint32_t sampled_one_in_ = 0;
     bool leaving_ = false;
     bool stale_ = false;
     std::size_t in_flight_ = 0;
--- a/src/node/handle_table.h
+++ b/src/node/handle_table.h
@@ -15,7 +15,6 @@
 /// share it. Traffic thread only.
 struct active_call {
     call_context context;
-    std::string route;                     ///< Entry route.
     std::shared_ptr<retry_tokens> retries; ///< Shared by all outgoing calls.
     bool downstream_refused = false;       ///< A call further down was refused.
     std::uint64_t outgoing_calls = 0;      ///< Numbers the calls, to derive their idempotency keys.
--- a/src/node/local_control_plane.cpp
+++ b/src/node/local_control_plane.cpp
@@ -2,6 +2,7 @@
 #include "include/http/http_client.h"
 #include "include/membership/membership_service.h"
 #include "include/observe/logging.h"
+#include "include/ownership/gone_instances.h"
 #include "include/peer/make_datagram_transport.h"
 #include "include/platform/http_object_store.h"
 #include "include/platform/http_table_service.h"
@@ -71,6 +72,9 @@
         membership_ = std::make_unique<membership_service>(options, clock_, random_, *datagrams_, *table_);
         membership_->on_change(
             [this](const std::shared_ptr<const membership_view>& view) { publish(*view); });
+        gone_ = std::make_unique<gone_instance_reader>(
+            *table_, clock_, random_,
+            [this](const gone_instance& gone) { updates_.instance_ended(gone.id, gone.incarnation); });
         membership_->start();
         start_configuration();
         tick();
@@ -193,6 +197,7 @@
     {
         membership_->tick();
         sync_->tick();
+        gone_->tick();
         if (!active_ && membership_->joined()) {
             active_ = true;
             updates_.activate({settings_.instance, membership_->self().incarnation, address_});
@@ -239,6 +244,7 @@
     std::unique_ptr<membership_service> membership_;
     std::map<std::string, std::uint64_t> incarnations_; ///< Highest seen, by instance id.
     std::unique_ptr<config_sync> sync_;
+    std::unique_ptr<gone_instance_reader> gone_;
     control_status status_{0, "joining", {}, 0, 0};
     steady_time reported_{};
     bool active_ = false;
--- a/src/node/local_traffic_plane.cpp
+++ b/src/node/local_traffic_plane.cpp
@@ -18,6 +18,8 @@
 constexpr duration group_timeout = std::chrono::seconds{2};
 // Time that a stopping node keeps refusing new work, so that peers and callers learn of its leaving.
 constexpr duration least_leaving = std::chrono::milliseconds{500};
+// Of requests whose caller started no trace, while an endpoint is set.
+constexpr std::uint32_t sampled_one_in = 100;
 constexpr std::size_t max_run_once_slots_memory = 200'000;
 
 http_server_options listener_options(const listen_address& address)
@@ -162,6 +164,7 @@
     message_sender& sender = *this;
     slots_ = std::make_unique<slot_service>(options, self, *table_, sender, clock_, random_);
     entry_ = std::make_unique<entry_handler>(io_, clock_, random_, *router_, *slots_);
+    entry_->set_sampling(settings_.trace_endpoint.empty() ? 0 : sampled_one_in);
     outgoing_ = std::make_unique<outgoing_handler>(clock_, random_, *router_, *server_, *slots_);
     entry_->set_observer([this](const call_message& m, steady_time started, const http_response& r) {
         telemetry_->on_entry(m, started, r);
@@ -170,16 +173,29 @@
         [this](const run_once_order& order, steady_time deadline, std::function<void(run_once_result)> done) {
             entry_->run_order(order, deadline, std::move(done));
         });
-    apply_state();
+    entry_->set_stale(stale_);
+    apply_configuration();
+    apply_members();
     tick();
 }
 
-void local_traffic_plane::apply_state()
+void local_traffic_plane::apply_configuration()
 {
-    if (config_) {
-        router_->set_configuration(*config_);
-        server_->set_configuration(config_);
+    if (!config_) {
+        return;
+    }
+    router_->set_configuration(*config_);
+    server_->set_configuration(config_);
+    if (slots_) {
+        const auto traffic = std::make_shared<const traffic_config>(config_);
+        entry_->set_configuration(traffic);
+        outgoing_->set_configuration(traffic);
+        slots_->set_configuration(config_);
     }
+}
+
+void local_traffic_plane::apply_members()
+{
     if (members_) {
         for (const auto& [service, list] : *members_) {
             router_->set_members(service, list);
@@ -188,13 +204,6 @@
     if (!slots_) {
         return;
     }
-    if (config_) {
-        const auto traffic = std::make_shared<const traffic_config>(config_);
-        entry_->set_configuration(traffic);
-        outgoing_->set_configuration(traffic);
-        slots_->set_configuration(config_);
-    }
-    entry_->set_stale(stale_);
     std::map<std::string, std::vector<node_ref>> by_data_centre;
     by_data_centre[settings_.data_centre].push_back(*self_);
     if (members_) {
@@ -216,13 +225,13 @@
 void local_traffic_plane::set_configuration(const std::shared_ptr<const configuration>& config)
 {
     config_ = config;
-    apply_state();
+    apply_configuration();
 }
 
 void local_traffic_plane::set_members(const std::shared_ptr<const member_lists>& members)
 {
     members_ = members;
-    apply_state();
+    apply_members();
 }
 
 void local_traffic_plane::report_ended(const std::string& id, std::uint64_t incarnation)
--- a/src/node/local_traffic_plane.h
+++ b/src/node/local_traffic_plane.h
@@ -51,7 +51,8 @@
     void serve_call(const std::shared_ptr<peer_request>& request);
     void serve_group(const std::shared_ptr<peer_request>& request);
     void tell_group(const std::string& payload);
-    void apply_state();
+    void apply_configuration();
+    void apply_members();
     void handle_admin(http_exchange& exchange);
     std::string status_json();
     void tick();
--- a/src/node/outgoing_handler.cpp
+++ b/src/node/outgoing_handler.cpp
@@ -99,7 +99,7 @@
     const auto& parent = c.parent->context;
     auto& m = c.message;
     m.service = route->service;
-    m.route = c.parent->route;
+    m.context.route = c.parent->context.route;
     m.idempotent = route->idempotent && !route->run_once;
     m.context.workspace = parent.workspace;
     m.context.level = parent.level;
--- a/src/node/telemetry.cpp
+++ b/src/node/telemetry.cpp
@@ -59,6 +59,9 @@
 {
     span s;
     s.context = trace;
+    if (trace.parent_id != decltype(trace.parent_id){}) {
+        s.parent = trace.parent_id;
+    }
     s.name = std::move(name);
     s.kind = kind;
     s.end = clock_.wall_now();
@@ -73,7 +76,8 @@
     requests("entry", outcome, reason).add();
     entry_seconds_.observe(seconds(clock_.now() - started));
     if (message.context.trace.sampled) {
-        auto s = make_span(message.context.trace, started, "entry " + message.route, span_kind::server);
+        auto s =
+            make_span(message.context.trace, started, "entry " + message.context.route, span_kind::server);
         s.attributes.emplace_back("workspace", message.context.workspace);
         s.attributes.emplace_back("wh.outcome", outcome);
         s.attributes.emplace_back("wh.reason", reason);
--- a/src/observe/trace_parent.cpp
+++ b/src/observe/trace_parent.cpp
@@ -107,6 +107,7 @@
 trace_context child_span(const trace_context& parent, random_source& random)
 {
     auto out = parent;
+    out.parent_id = parent.span_id;
     draw(out.span_id, random);
     return out;
 }
--- a/tools/whctl/platform_commands.cpp
+++ b/tools/whctl/platform_commands.cpp
@@ -1,5 +1,6 @@
 #include "include/config/config_store.h"
 #include "include/config/key_file.h"
+#include "include/ownership/gone_instances.h"
 #include "tools/whctl/commands.h"
 #include "tools/whctl/files.h"
 #include "tools/whctl/platform_link.h"
@@ -243,18 +244,51 @@
     return all_current ? exit_done : exit_mistakes;
 }
 
+namespace {
+
+// The incarnation in the instance's own row.
+result<std::uint64_t> find_incarnation(platform_link& link, const std::string& id)
+{
+    const auto rows = wait_for<result<std::vector<table_row>>>(
+        link, [&](auto done) { link.table->list("instance/", std::move(done)); });
+    if (!rows) {
+        return rows.failure();
+    }
+    for (const auto& row : *rows) {
+        const auto parsed = json::parse(row.value, nullptr, false);
+        if (row.key.ends_with("/" + id) && parsed.is_object()) {
+            return parsed.value("incarnation", std::uint64_t{0});
+        }
+    }
+    return make_error(errc::not_found, "instance " + id);
+}
+
+} // namespace
+
 int run_instance_gone(const command_line& command)
 {
     const auto link = open_platform(command);
     if (!link || command.arguments.size() != 1) {
         return fail(exit_usage, link ? "instance-gone needs one instance id" : link.failure().message());
     }
-    const auto key = "gone/" + command.arguments.front();
-    const auto value = json{{"instance", command.arguments.front()}, {"author", command.author}}.dump();
+    auto& table = *(*link)->table;
+    const auto& id = command.arguments.front();
+    const auto incarnation = find_incarnation(**link, id);
+    if (!incarnation) {
+        return fail(exit_usage, incarnation.failure().message());
+    }
+    const auto key = gone_instance_prefix + id;
+    const auto old =
+        wait_for<result<table_row>>(**link, [&](auto done) { table.read(key, std::move(done)); });
+    write_condition condition;
+    if (old) {
+        condition = {write_condition::kind::must_match, old->etag};
+    }
+    const auto value = encode_gone_instance({id, *incarnation, command.author});
     const auto written = wait_for<result<std::string>>(
-        **link, [&](auto done) { (*link)->table->write(key, value, {}, std::move(done)); });
-    if (written || written.failure().code == errc::conflict) {
-        std::cout << fmt::format("{} is recorded as gone\n", command.arguments.front());
+        **link, [&](auto done) { table.write(key, value, condition, std::move(done)); });
+    if (written) {
+        std::cout << fmt::format("{} is recorded as gone up to incarnation {}\n", id, *incarnation);
         return exit_done;
     }
     const bool lost = written.failure().code != errc::unavailable;
