Use one message codec for frames, membership and slots

Ruled out: cereal's portable binary archive, which needs streams and allocates what the wire claims. Change: src/core/wire.h on the bounded archive serves peer, membership and ownership; the byte order mark is gone, so a frame carries 10 bytes instead of 11 besides its payload. The tests that count frame bytes use the constant and are unchanged.

--- a/src/membership/group_message.cpp
+++ b/src/membership/group_message.cpp
@@ -1,7 +1,7 @@
 #include "include/membership/group_message.h"
 
+#include "src/core/wire.h"
 #include "src/peer/endpoint.h"
-#include "src/peer/wire.h"
 
 #include <algorithm>
 
--- a/src/ownership/run_once_home.cpp
+++ b/src/ownership/run_once_home.cpp
@@ -1,6 +1,6 @@
 #include "include/ownership/run_once_home.h"
 
-#include "src/ownership/wire.h"
+#include "src/core/wire.h"
 
 #include <algorithm>
 #include <utility>
@@ -281,7 +281,7 @@
         const auto state = r.u8();
         const duration age{std::max<std::int64_t>(0, r.i64())};
         const auto key = r.str();
-        if (!r.finished() || state > static_cast<std::uint8_t>(claim_state::unknown)) {
+        if (!r.complete() || state > static_cast<std::uint8_t>(claim_state::unknown)) {
             return false;
         }
         put(key, static_cast<claim_state>(state), now - age);
@@ -289,17 +289,17 @@
     }
     if (type == claim_record::release) {
         const auto key = r.str();
-        if (r.finished()) {
+        if (r.complete()) {
             erase(key);
         }
-        return r.finished();
+        return r.complete();
     }
     if (type == claim_record::lost) {
         const duration age{std::max<std::int64_t>(0, r.i64())};
-        if (r.finished()) {
+        if (r.complete()) {
             lost_at_ = now - age;
         }
-        return r.finished();
+        return r.complete();
     }
     return false;
 }
--- a/src/ownership/slot_pair_channel.cpp
+++ b/src/ownership/slot_pair_channel.cpp
@@ -1,7 +1,7 @@
 #include "include/ownership/slot_pair_channel.h"
 
+#include "src/core/wire.h"
 #include "src/ownership/slot_messages.h"
-#include "src/ownership/wire.h"
 
 #include <utility>
 
@@ -215,7 +215,7 @@
     wire_reader r{reply.payload};
     const auto answer = static_cast<batch_answer>(r.u8());
     const auto row_text = r.str();
-    if (!r.finished()) {
+    if (!r.complete()) {
         return;
     }
     if (answer != batch_answer::applied) {
@@ -258,7 +258,7 @@
     for (std::uint32_t i = 0; i < count && r.ok(); ++i) {
         records.push_back(r.str());
     }
-    const bool valid = r.finished() && slot < ownership_.slots();
+    const bool valid = r.complete() && slot < ownership_.slots();
     if (valid && (flags & first_of_state) != 0) {
         const auto row = decode_row(row_text);
         if (row) {
--- a/src/ownership/slot_records.cpp
+++ b/src/ownership/slot_records.cpp
@@ -1,6 +1,6 @@
 #include "src/ownership/slot_records.h"
 
-#include "src/ownership/wire.h"
+#include "src/core/wire.h"
 
 #include <algorithm>
 
@@ -41,7 +41,7 @@
     m.second.rate = r.f64();
     m.second.burst = r.u64();
     const bool sane = m.second.rate >= 0 && m.second.rate < most_rate && m.second.burst < most_burst;
-    return r.finished() && sane ? std::optional{m} : std::nullopt;
+    return r.complete() && sane ? std::optional{m} : std::nullopt;
 }
 
 std::string encode_gate(const share_gate::record& record)
@@ -58,7 +58,7 @@
     record.adopted = r.u64();
     record.stamp = r.u64();
     record.raised = r.u8() != 0;
-    return r.finished() ? std::optional{record} : std::nullopt;
+    return r.complete() ? std::optional{record} : std::nullopt;
 }
 
 std::string encode_moved(const std::string& workspace, duration age)
@@ -73,7 +73,7 @@
     std::pair<std::string, duration> m;
     m.first = r.str();
     m.second = duration{std::max<std::int64_t>(0, r.i64())};
-    return r.finished() ? std::optional{m} : std::nullopt;
+    return r.complete() ? std::optional{m} : std::nullopt;
 }
 
 std::string encode_age(duration age)
@@ -86,7 +86,7 @@
 {
     wire_reader r{body};
     const duration age{std::max<std::int64_t>(0, r.i64())};
-    return r.finished() ? std::optional{age} : std::nullopt;
+    return r.complete() ? std::optional{age} : std::nullopt;
 }
 
 } // namespace wagtailhatch
--- a/src/ownership/slot_service.cpp
+++ b/src/ownership/slot_service.cpp
@@ -2,9 +2,9 @@
 // files.
 #include "include/ownership/slot_service.h"
 
+#include "src/core/wire.h"
 #include "src/ownership/slot_messages.h"
 #include "src/ownership/slot_records.h"
-#include "src/ownership/wire.h"
 
 #include <algorithm>
 
@@ -286,7 +286,7 @@
     else if (c == channel::slot && type == slot_message::row) {
         const auto slot = r.u32();
         const auto row = decode_row(r.str());
-        if (r.finished() && row) {
+        if (r.complete() && row) {
             ownership_.learn(slot, row.value());
         }
         respond({});
--- a/src/ownership/slot_service_gate.cpp
+++ b/src/ownership/slot_service_gate.cpp
@@ -1,8 +1,8 @@
 // How owners of one slot in different data centres agree on a new division of rates and homes.
 #include "include/ownership/slot_service.h"
+#include "src/core/wire.h"
 #include "src/ownership/slot_messages.h"
 #include "src/ownership/slot_records.h"
-#include "src/ownership/wire.h"
 
 #include <algorithm>
 
@@ -89,7 +89,7 @@
                  const auto version = r.u64();
                  const auto stamp = r.u64();
                  auto& s = state(slot);
-                 if (type == slot_answer::done && r.finished() && s.gate) {
+                 if (type == slot_answer::done && r.complete() && s.gate) {
                      s.gate->confirmed(data_centre, version, stamp);
                  }
              });
@@ -119,7 +119,7 @@
     wire_reader r{body};
     r.u8();
     const auto slot = r.u32();
-    if (!r.finished() || slot >= ownership_.slots() || ownership_.role(slot) != slot_role::owner) {
+    if (!r.complete() || slot >= ownership_.slots() || ownership_.role(slot) != slot_role::owner) {
         respond(not_here(slot));
         return;
     }
--- a/src/ownership/slot_service_map.cpp
+++ b/src/ownership/slot_service_map.cpp
@@ -1,7 +1,7 @@
 // Where the slots of all data centres are, as nodes tell each other.
 #include "include/ownership/slot_service.h"
+#include "src/core/wire.h"
 #include "src/ownership/slot_messages.h"
-#include "src/ownership/wire.h"
 
 namespace wagtailhatch {
 
@@ -32,7 +32,7 @@
         known += ownership_.row(i).epoch > 0 ? 1 : 0;
     }
     wire_writer w;
-    if (!r.finished() || own == digest) {
+    if (!r.complete() || own == digest) {
         return w.u32(0).take();
     }
     w.u32(known);
--- a/src/ownership/slot_service_orders.cpp
+++ b/src/ownership/slot_service_orders.cpp
@@ -1,7 +1,7 @@
 // Run-once orders: at the entry node and at the home.
 #include "include/ownership/slot_service.h"
+#include "src/core/wire.h"
 #include "src/ownership/slot_messages.h"
-#include "src/ownership/wire.h"
 
 #include <algorithm>
 
@@ -57,7 +57,7 @@
     const auto reason = r.u8();
     result.already_run = r.u8() != 0;
     result.answer = r.str();
-    if (!r.finished() || what >= outcome_names.size() || reason >= refusal_reason_names.size()) {
+    if (!r.complete() || what >= outcome_names.size() || reason >= refusal_reason_names.size()) {
         return {outcome::unknown, refusal_reason::connection_lost, false, {}};
     }
     result.what = static_cast<outcome>(what);
@@ -162,7 +162,7 @@
     order.request = r.str();
     // The epoch must be the one that the sender meant: a message that arrives late, after this instance was
     // started anew, would otherwise pass for a first attempt.
-    if (!r.finished() || slot >= ownership_.slots() || ownership_.role(slot) != slot_role::owner ||
+    if (!r.complete() || slot >= ownership_.slots() || ownership_.role(slot) != slot_role::owner ||
         ownership_.row(slot).epoch != epoch) {
         respond(not_here(slot));
         return;
--- a/src/ownership/slot_service_quota.cpp
+++ b/src/ownership/slot_service_quota.cpp
@@ -1,8 +1,8 @@
 // Mints of the slots that this node owns, and how its wallet reaches them.
 #include "include/ownership/slot_service.h"
+#include "src/core/wire.h"
 #include "src/ownership/slot_messages.h"
 #include "src/ownership/slot_records.h"
-#include "src/ownership/wire.h"
 
 #include <algorithm>
 
@@ -59,7 +59,7 @@
                 a.left = r.f64();
                 a.burst = r.f64();
                 a.wait = duration{r.i64()};
-                a.reachable = r.finished();
+                a.reachable = r.complete();
                 a.grant = a.reachable ? a.grant : 0;
             }
             else if (reply.ok && r.ok()) {
@@ -134,7 +134,7 @@
     const auto workspace = r.str();
     const auto need = r.u32();
     const auto wish = r.u32();
-    if (!r.finished() || slot >= ownership_.slots() || ownership_.role(slot) != slot_role::owner) {
+    if (!r.complete() || slot >= ownership_.slots() || ownership_.role(slot) != slot_role::owner) {
         respond(not_here(slot));
         return;
     }
@@ -187,7 +187,7 @@
     const auto grant = r.u64();
     const auto spent = r.u32();
     const auto returned = r.u32();
-    if (!r.finished() || slot >= ownership_.slots() || ownership_.role(slot) != slot_role::owner) {
+    if (!r.complete() || slot >= ownership_.slots() || ownership_.role(slot) != slot_role::owner) {
         return;
     }
     auto& mints = state(slot).mints;
--- a/src/peer/datagram.cpp
+++ b/src/peer/datagram.cpp
@@ -1,7 +1,7 @@
 #include "src/peer/datagram.h"
 
+#include "src/core/wire.h"
 #include "src/peer/endpoint.h"
-#include "src/peer/wire.h"
 
 namespace wagtailhatch {
 
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -1,6 +1,6 @@
 #include "src/peer/frame.h"
 
-#include "src/peer/wire.h"
+#include "src/core/wire.h"
 
 #include <cassert>
 
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -29,7 +29,7 @@
 
 constexpr std::size_t frame_prefix_size = 4;
 constexpr std::size_t max_frame_size = std::size_t{16} << 20;
-constexpr std::size_t frame_overhead = 11; ///< Byte order mark, type, code and id.
+constexpr std::size_t frame_overhead = 10; ///< Type, code and id.
 constexpr std::size_t max_frame_payload = max_frame_size - frame_overhead;
 
 /// Length prefix and frame. Requires payload of at most max_frame_payload bytes.
--- a/tests/ownership/simulation.cpp
+++ b/tests/ownership/simulation.cpp
@@ -1,7 +1,7 @@
 #include "tests/ownership/simulation.h"
 
+#include "src/core/wire.h"
 #include "src/ownership/slot_messages.h"
-#include "src/ownership/wire.h"
 
 #include <algorithm>
 #include <cmath>
