--- a/src/core/wire.h
+++ b/src/core/wire.h
@@ -19,6 +19,7 @@
         : out_{prefix}
     {
     }
+    ~wire_writer() = default;
     wire_writer(const wire_writer&) = delete;
     wire_writer& operator=(const wire_writer&) = delete;
 
@@ -70,6 +71,7 @@
         , archive_{bytes}
     {
     }
+    ~wire_reader() = default;
     wire_reader(const wire_reader&) = delete;
     wire_reader& operator=(const wire_reader&) = delete;
 
--- a/src/node/entry_handler.cpp
+++ b/src/node/entry_handler.cpp
@@ -218,11 +218,12 @@
     r->message.context.retry_tokens = config_->config->retry_tokens;
     order.request = encode(r->message, clock_.now());
     const std::weak_ptr<int> alive = alive_;
-    slots_.run_once(std::move(order), r->message.context.deadline, [this, alive, r](run_once_result result) {
-        if (!alive.expired()) {
-            end(r, decode_order_result(std::move(result)));
-        }
-    });
+    slots_.run_once(std::move(order), r->message.context.deadline,
+                    [this, alive, r](const run_once_result& result) {
+                        if (!alive.expired()) {
+                            end(r, decode_order_result(result));
+                        }
+                    });
 }
 
 void entry_handler::run_order(const run_once_order& order, steady_time deadline,
@@ -239,7 +240,7 @@
     message->context.deadline = std::min(message->context.deadline, deadline);
     auto tokens = std::make_shared<retry_tokens>(message->context.retry_tokens);
     router_.start(std::move(*message), std::move(tokens),
-                  [done = std::move(done)](call_reply reply) { done(encode_order_result(reply)); });
+                  [done = std::move(done)](const call_reply& reply) { done(encode_order_result(reply)); });
 }
 
 void entry_handler::end(const request_ptr& r, call_reply reply)
--- a/src/node/order_codec.cpp
+++ b/src/node/order_codec.cpp
@@ -15,7 +15,7 @@
     return r;
 }
 
-call_reply decode_order_result(run_once_result r)
+call_reply decode_order_result(const run_once_result& r)
 {
     call_reply reply;
     reply.result = r.what;
--- a/src/node/order_codec.h
+++ b/src/node/order_codec.h
@@ -9,6 +9,6 @@
 run_once_result encode_order_result(const call_reply& reply);
 
 /// The reply that an order's result stands for.
-call_reply decode_order_result(run_once_result result);
+call_reply decode_order_result(const run_once_result& result);
 
 } // namespace wagtailhatch
--- a/src/node/outgoing_handler.cpp
+++ b/src/node/outgoing_handler.cpp
@@ -141,7 +141,7 @@
     }
     run_once_order order{m.context.workspace, m.context.run_once_key, false, encode(m, clock_.now())};
     slots_.run_once(std::move(order), m.context.deadline,
-                    [done](run_once_result r) { done(decode_order_result(std::move(r))); });
+                    [done](const run_once_result& r) { done(decode_order_result(r)); });
 }
 
 void outgoing_handler::end(const call_ptr& c, call_reply reply)
--- a/src/node/traffic_config.h
+++ b/src/node/traffic_config.h
@@ -10,7 +10,7 @@
 
 /// The configuration in force with the indexes that traffic needs. Immutable.
 struct traffic_config {
-    explicit traffic_config(std::shared_ptr<const configuration> c)
+    explicit traffic_config(const std::shared_ptr<const configuration>& c)
         : config{c}
         , keys{c}
         , routes{c}
--- a/tests/config/config_documents_test.cpp
+++ b/tests/config/config_documents_test.cpp
@@ -123,7 +123,7 @@
     CHECK(c.routes[1].run_once);
     CHECK_FALSE(c.routes[1].idempotent);
     CHECK(c.routes[2].open);
-    CHECK(c.routes[2].max_body == 64 * 1024);
+    CHECK(c.routes[2].max_body == std::size_t{64} * 1024);
     CHECK_FALSE(c.routes[2].idempotent);
 }
 
--- a/tests/config/config_sync_test.cpp
+++ b/tests/config/config_sync_test.cpp
@@ -63,9 +63,9 @@
         n.published = 0;
         config_sync_options options;
         options.self = n.self;
-        auto send = [this, i](const peer_address& to, std::string payload, duration timeout,
-                              std::function<void(peer_reply)> done) {
-            deliver(i, to, std::move(payload), timeout, std::move(done));
+        auto send = [this, i](const peer_address& to, const std::string& payload, duration timeout,
+                              const std::function<void(peer_reply)>& done) {
+            deliver(i, to, payload, timeout, done);
         };
         n.sync = std::make_unique<config_sync>(options, events.time(), n.random, send, *n.platform,
                                                *n.platform, [&n](const auto& config) {
@@ -129,8 +129,8 @@
         return cuts_.count({from, to}) != 0 || random_.unit() < loss;
     }
 
-    void deliver(std::size_t from, const peer_address& to, std::string payload, duration timeout,
-                 std::function<void(peer_reply)> done)
+    void deliver(std::size_t from, const peer_address& to, const std::string& payload, duration timeout,
+                 const std::function<void(peer_reply)>& done)
     {
         const auto found =
             std::find_if(nodes_.begin(), nodes_.end(), [&](const node& n) { return n.self.address == to; });
@@ -274,8 +274,8 @@
     const auto before = f.content.reads;
     f.events.run_for(20s);
     // Two data centres with two readers, once a second; one more poll for each may fall into the window.
-    CHECK(f.content.reads - before <= 4 * 21);
-    CHECK(f.content.reads - before >= 4 * 15);
+    CHECK(f.content.reads - before <= std::size_t{4} * 21);
+    CHECK(f.content.reads - before >= std::size_t{4} * 15);
 }
 
 // Guards against nodes that serve keyed routes for longer than max_staleness without word of the platform.
--- a/tests/config/examples_test.cpp
+++ b/tests/config/examples_test.cpp
@@ -28,7 +28,8 @@
     for (const auto& [name, data_centres] : examples) {
         document_set documents{{"base", text_of(name + "/base.yaml")}};
         for (const auto& dc : data_centres) {
-            documents["overlay/" + dc] = text_of(name + "/overlay-" + dc + ".yaml");
+            documents["overlay/" + dc] =
+                text_of(std::string{name}.append("/overlay-").append(dc).append(".yaml"));
         }
         for (const auto& dc : data_centres) {
             const auto config = load_configuration(documents, dc, 1);
--- a/tests/system/child_process.cpp
+++ b/tests/system/child_process.cpp
@@ -43,6 +43,7 @@
     : base_{folder + "/" + name}
 {
     std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
     for (auto& word : command) {
         arguments.push_back(word.data());
     }
