Tell how late the event loop is and what open connections do

The logs could not tell a late event loop from connections that wait to be accepted, nor a request that was read late from a call that waited at its target's gate. Added: after_ms in "caller gone", "work cancelled" at the gate, "event loop late" with a metric, connections by state in metrics, and one line when accepting begins or ceases to fail in place of one for each failure.

--- a/src/call/gate_call.cpp
+++ b/src/call/gate_call.cpp
@@ -28,6 +28,7 @@
     , ticket_{ticket}
     , call_{std::move(call)}
     , sink_{std::move(sink)}
+    , arrived_{gate.time_.now()}
 {
 }
 
@@ -209,6 +210,10 @@
     if (!call_.idempotent) {
         return; // The target finishes what may have begun; its answer is dropped.
     }
+    log(log_level::info, "work cancelled",
+        {{"id", call_.id},
+         {"target", gate_.target_.id},
+         {"after_ms", std::chrono::duration<double, std::milli>(gate_.time_.now() - arrived_).count()}});
     if (const auto connection = connection_.lock()) {
         connection->cancel();
     }
--- a/src/call/gate_call.h
+++ b/src/call/gate_call.h
@@ -46,6 +46,7 @@
     std::uint64_t ticket_;
     service_call call_;
     std::shared_ptr<reply_sink> sink_; ///< Empty once the end was reported or the call was cancelled.
+    steady_time arrived_{};            ///< At this gate.
     std::weak_ptr<target_connection> connection_;
     message_head head_;
     http_response response_;
--- a/src/http1/caller_session.cpp
+++ b/src/http1/caller_session.cpp
@@ -312,6 +312,17 @@
     owner_.on_session_end(this);
 }
 
+session_state caller_session::state() const
+{
+    if (lingering_) {
+        return session_state::closing;
+    }
+    if (!exchanges_.empty()) {
+        return session_state::answering;
+    }
+    return idle() ? session_state::idle : session_state::reading;
+}
+
 void caller_session::close_if_idle()
 {
     if (idle() && unsent() == 0 && is_open()) {
--- a/src/http1/caller_session.h
+++ b/src/http1/caller_session.h
@@ -6,9 +6,12 @@
 #include "src/http1/caller_exchange.h"
 #include "src/http1/message_parser.h"
 
+#include <array>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace wagtailhatch {
 
@@ -31,6 +34,17 @@
     virtual void on_session_end(caller_session* session) = 0;
 };
 
+/// What a caller's connection is doing.
+enum class session_state : std::uint8_t {
+    idle,      ///< Waits for a request.
+    reading,   ///< A request has come in part.
+    answering, ///< A request runs or its answer is being written.
+    closing,   ///< The last answer is written; the caller is to close.
+};
+
+/// Names in the order of session_state, for metrics and logs.
+constexpr std::array<std::string_view, 4> session_state_names{"idle", "reading", "answering", "closing"};
+
 /// One connection of a caller: reads requests, also several ahead, within the configured limits, and writes
 /// the answers in order. Keeps reading while requests run, so that a caller that hangs up is noticed.
 class caller_session final : public byte_stream, private message_events {
@@ -50,6 +64,7 @@
 
     /// No request is being read or answered.
     bool idle() const { return exchanges_.empty() && !current_ && !parser_.started(); }
+    session_state state() const;
 
 private:
     friend class caller_exchange;
--- a/src/node/entry_call.cpp
+++ b/src/node/entry_call.cpp
@@ -363,7 +363,7 @@
          {"reason", to_string(reason)},
          {"route", call_.route},
          {"workspace", call_.workspace},
-         {"after_ms", std::chrono::duration<double, std::milli>(router_.time_.now() - arrived_).count()},
+         {"after_ms", milliseconds_since_arrival()},
          {"arrivals", arrivals_},
          {"config", config_ ? config_->version : 0}});
     router_.numbers_.refused(reason).add();
@@ -382,8 +382,7 @@
             {{"id", call_.id},
              {"status", response.status},
              {"target", target_},
-             {"after_ms",
-              std::chrono::duration<double, std::milli>(router_.time_.now() - arrived_).count()}});
+             {"after_ms", milliseconds_since_arrival()}});
     }
     note_own_call(response.status >= http_status::internal_error);
     count_answer(response.status < http_status::internal_error);
@@ -398,6 +397,11 @@
         std::chrono::duration<double>(router_.time_.now() - arrived_).count());
 }
 
+double entry_call::milliseconds_since_arrival() const
+{
+    return std::chrono::duration<double, std::milli>(router_.time_.now() - arrived_).count();
+}
+
 void entry_call::note_own_call(bool failed)
 {
     if (call_.depth > 0) {
@@ -434,7 +438,8 @@
         handle->cancel();
     }
     router_.numbers_.gone.add();
-    log(log_level::info, "caller gone", {{"id", call_.id}, {"target", target_}});
+    log(log_level::info, "caller gone",
+        {{"id", call_.id}, {"target", target_}, {"after_ms", milliseconds_since_arrival()}});
     close();
 }
 
--- a/src/node/entry_call.h
+++ b/src/node/entry_call.h
@@ -54,6 +54,7 @@
     void on_caller_gone();
     void close();
     duration spread(duration retry_after) const;
+    double milliseconds_since_arrival() const; ///< Of the whole request at this node, for logs.
 
     entry_router& router_;
     std::shared_ptr<caller_exchange> exchange_;
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -1,5 +1,7 @@
 #include "src/node/node_metrics.h"
 
+#include "src/http1/caller_session.h"
+
 #include <string>
 
 namespace wagtailhatch {
@@ -24,7 +26,17 @@
     , config_version{registry.gauge("wh_config_version", "Version of the configuration in force")}
     , peers{registry.gauge("wh_peers", "Other nodes with a link")}
     , log_lines_left_out{registry.gauge("wh_log_lines_left_out", "Log lines left out since the start")}
+    , event_loop_lag{registry.gauge("wh_event_loop_lag_seconds",
+                                    "How late the last periodic task of the traffic thread ran, seconds")}
+    , callers_not_accepted{registry.counter("wh_callers_not_accepted_total",
+                                            "Failed attempts to accept a caller's connection")}
 {
+    caller_connections.reserve(session_state_names.size());
+    for (const auto state : session_state_names) {
+        caller_connections.push_back(registry.gauge("wh_caller_connections",
+                                                    "Open connections of callers, by what they are doing",
+                                                    {{"state", std::string{state}}}));
+    }
     refusals.reserve(refusal_reason_names.size());
     for (const auto reason : refusal_reason_names) {
         refusals.push_back(registry.counter("wh_refusals_total", "Requests that this node refused, by reason",
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -26,7 +26,10 @@
     gauge_metric config_version;
     gauge_metric peers;
     gauge_metric log_lines_left_out;
-    std::vector<counter_metric> refusals; ///< By reason.
+    gauge_metric event_loop_lag;
+    counter_metric callers_not_accepted;
+    std::vector<gauge_metric> caller_connections; ///< By session_state.
+    std::vector<counter_metric> refusals;         ///< By reason.
 };
 
 } // namespace wagtailhatch
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -23,6 +23,10 @@
 constexpr duration reader_overlap = 2s;
 constexpr duration config_ask_interval = 500ms;
 constexpr duration accept_pause = 50ms;
+// Accepting counts as failing until it has not failed for this long.
+constexpr duration accept_recovery = 1s;
+// A periodic task that runs this late is reported: requests and hang-ups are noticed as late.
+constexpr duration noteworthy_lag = 100ms;
 
 std::uint64_t random_incarnation()
 {
@@ -117,20 +121,74 @@
             return;
         }
         // Out of descriptors, as a rule: others must close first.
-        log(log_level::warning, "caller not accepted", {{"error", ec.message()}});
+        on_accept_failure(ec);
         const auto pause = std::make_shared<asio::steady_timer>(io_, accept_pause);
         pause->async_wait([this, pause](const std::error_code&) { accept(); });
     });
 }
 
+void traffic_plane::on_accept_failure(const std::error_code& reason)
+{
+    numbers_.callers_not_accepted.add();
+    last_accept_failure_ = time_.now();
+    if (accept_failures_++ > 0) {
+        return;
+    }
+    first_accept_failure_ = last_accept_failure_;
+    const auto sessions = count_sessions();
+    log(log_level::warning, "callers not accepted",
+        {{"error", reason.message()},
+         {"idle", sessions.at(static_cast<std::size_t>(session_state::idle))},
+         {"reading", sessions.at(static_cast<std::size_t>(session_state::reading))},
+         {"answering", sessions.at(static_cast<std::size_t>(session_state::answering))},
+         {"closing", sessions.at(static_cast<std::size_t>(session_state::closing))}});
+}
+
+void traffic_plane::check_accepting(steady_time now)
+{
+    if (accept_failures_ > 0 && now - last_accept_failure_ > accept_recovery) {
+        log(log_level::info, "callers accepted again",
+            {{"failures", accept_failures_},
+             {"after_ms",
+              std::chrono::duration<double, std::milli>(last_accept_failure_ - first_accept_failure_)
+                  .count()}});
+        accept_failures_ = 0;
+    }
+}
+
 void traffic_plane::on_session_end(caller_session* session)
 {
     sessions_.erase(session);
 }
 
+void traffic_plane::note_lag(steady_time now)
+{
+    const auto due = sweep_timer_.expiry();
+    const auto lag = due == steady_time{} ? duration{} : std::max(now - due, duration{});
+    numbers_.event_loop_lag.set(to_seconds(lag));
+    if (lag > noteworthy_lag) {
+        log(log_level::warning, "event loop late",
+            {{"lag_ms", std::chrono::duration<double, std::milli>(lag).count()},
+             {"sessions", sessions_.size()},
+             {"entry_requests", router_.in_progress()},
+             {"target_requests", gate_.in_progress()}});
+    }
+}
+
+session_counts traffic_plane::count_sessions() const
+{
+    session_counts counts{};
+    for (const auto& [raw, session] : sessions_) {
+        ++counts.at(static_cast<std::size_t>(session->state()));
+    }
+    return counts;
+}
+
 void traffic_plane::sweep()
 {
     const auto now = time_.now();
+    note_lag(now);
+    check_accepting(now);
     const auto copy = sessions_;
     for (const auto& [raw, session] : copy) {
         session->check_timeouts(now);
@@ -463,6 +521,10 @@
     numbers_.target_limit.set(load.limit);
     numbers_.target_queued.set(load.queued);
     numbers_.peers.set(static_cast<double>(mesh_.link_count()));
+    const auto sessions = count_sessions();
+    for (std::size_t state = 0; state < sessions.size(); ++state) {
+        numbers_.caller_connections[state].set(static_cast<double>(sessions.at(state)));
+    }
     numbers_.config_version.set(config_.content ? static_cast<double>(config_.content->version) : 0);
     numbers_.log_lines_left_out.set(static_cast<double>(dropped_log_lines()));
     if (!log_enabled(log_level::debug)) {
--- a/src/node/traffic_plane.h
+++ b/src/node/traffic_plane.h
@@ -17,6 +17,8 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <array>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,6 +45,9 @@
     std::function<void(bool)> read_store;
 };
 
+/// Sessions by session_state.
+using session_counts = std::array<std::size_t, session_state_names.size()>;
+
 /// The requests: callers' connections, the links to other nodes and the way to the target. One thread.
 class traffic_plane final : private peer_mesh_events, private caller_session_owner, private call_carrier {
 public:
@@ -106,12 +111,17 @@
     void on_own_call(const std::string& parent, bool failed) override { gate_.on_own_call(parent, failed); }
 
     void accept();
+    void on_accept_failure(const std::error_code& reason);
+    void check_accepting(steady_time now);
     void sweep();
+    void note_lag(steady_time now);
     void refresh_members();
     std::set<peer_address> current_suspects() const;
     void check_drained();
     void elect_store_readers();
     void report_load();
+    /// Number of sessions in each session_state.
+    session_counts count_sessions() const;
     member self() const;
 
     asio::io_context& io_;
@@ -130,6 +140,9 @@
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer sweep_timer_;
     std::unordered_map<caller_session*, std::shared_ptr<caller_session>> sessions_;
+    std::uint64_t accept_failures_ = 0; ///< Of the current series.
+    steady_time first_accept_failure_{};
+    steady_time last_accept_failure_{};
     std::map<peer_address, node_status> peers_; ///< With a link.
     std::set<peer_address> suspects_;           ///< Of these, those that calls avoid.
     std::uint64_t config_asked_ = 0;            ///< Newest version that a peer was asked for.
--- a/tests/http1/caller_session_test.cpp
+++ b/tests/http1/caller_session_test.cpp
@@ -119,6 +119,22 @@
     CHECK(f.host.sessions.empty());
 }
 
+// Guards against metrics that cannot tell connections that wait from connections that work.
+TEST_CASE("a session tells what its connection is doing")
+{
+    fixture f;
+    raw_client client{f.io, f.host.port()};
+    REQUIRE(f.wait([&] { return f.host.sessions.size() == 1; }));
+    const auto session = *f.host.sessions.begin();
+    CHECK(session->state() == session_state::idle);
+    client.send("GET /1 HTTP/1.1\r\n");
+    CHECK(f.wait([&] { return session->state() == session_state::reading; }));
+    client.send("Connection: close\r\n\r\n");
+    CHECK(f.wait([&] { return session->state() == session_state::answering; }));
+    f.host.requests.at(0)->respond({200, {}, "one"});
+    CHECK(session->state() == session_state::closing);
+}
+
 // Guards against bodies that are changed on the way in.
 TEST_CASE("bodies come whole, by length and in chunks")
 {
