Reproduce the incident in tests that fail

Four tests at real sockets without other processes, one with a node whose descriptors are held by idle callers.

- a request is begun although its caller's close lies right behind it;
- the close is not noticed while reading pauses for requests read ahead;
- a call is begun although its cancellation, or the end of its link, lies right behind it (the same fault between nodes);

--- a/tests/http1/caller_session_test.cpp
+++ b/tests/http1/caller_session_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
 
 using namespace wagtailhatch;
@@ -51,6 +52,7 @@
     caller_limits bounds;
     std::vector<std::shared_ptr<caller_exchange>> requests;
     std::set<std::shared_ptr<caller_session>> sessions;
+    std::size_t accepted = 0;
     std::size_t held = 0;
     std::size_t most_held = std::size_t{1} << 20;
     bool stopping = false;
@@ -65,6 +67,7 @@
             auto session = std::make_shared<caller_session>(std::move(socket),
                                                             static_cast<caller_session_owner&>(*this));
             sessions.insert(session);
+            ++accepted;
             session->start();
             accept();
         });
@@ -119,6 +122,42 @@
     CHECK(f.host.sessions.empty());
 }
 
+// Guards against work that is begun for a caller that has gone (GONE, gone-overload of Wrapline): the request
+// and the close behind it arrive while the node does not read, and are read one after the other.
+TEST_CASE("a request whose caller has already closed is not begun")
+{
+    fixture f;
+    asio::ip::tcp::socket caller{f.io};
+    caller.connect({asio::ip::address_v4::loopback(), f.host.port()});
+    asio::write(caller, asio::buffer(get("/1")));
+    caller.close();
+    REQUIRE(f.wait([&] { return f.host.accepted > 0 && f.host.sessions.empty(); }));
+    CHECK(f.host.requests.empty());
+}
+
+// Guards against work that goes on for a caller that has gone: while reading pauses, because the caller sent
+// more requests than are read ahead, the end of its connection went unnoticed.
+TEST_CASE("a caller that hangs up is noticed while more of its requests wait than are read ahead")
+{
+    fixture f;
+    raw_client client{f.io, f.host.port()};
+    std::string many;
+    for (int i = 0; i < 100; ++i) {
+        many += get("/" + std::to_string(i));
+    }
+    client.send(many);
+    REQUIRE(f.wait([&] { return f.host.requests.size() >= 32; }));
+    settle(f.io);
+    client.hang_up();
+    settle(f.io);
+    for (const auto& s : std::set<std::shared_ptr<caller_session>>{f.host.sessions}) {
+        s->check_timeouts(f.host.now.now());
+    }
+    CHECK(f.host.sessions.empty());
+    CHECK(std::all_of(f.host.requests.begin(), f.host.requests.end(),
+                      [](const auto& exchange) { return exchange->gone(); }));
+}
+
 // Guards against metrics that cannot tell connections that wait from connections that work.
 TEST_CASE("a session tells what its connection is doing")
 {
--- /dev/null
+++ b/tests/peer/peer_mesh_test.cpp
@@ -0,0 +1,116 @@
+#include "src/core/wire.h"
+#include "src/peer/peer_mesh.h"
+#include "tests/http/loop_driver.h"
+
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+
+using namespace wagtailhatch;
+using namespace wagtailhatch::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Records the calls that peers make.
+class call_recorder final : public peer_mesh_events {
+public:
+    void on_peer_status(const node_status& status) override { ++statuses[status.self.address]; }
+    void on_peer_lost(const peer_address&) override {}
+    std::shared_ptr<call_handle> on_peer_call(service_call call, std::shared_ptr<reply_sink>) override
+    {
+        struct handle final : call_handle {
+            explicit handle(std::size_t& cancelled)
+                : cancelled_{cancelled}
+            {
+            }
+            void cancel() override { ++cancelled_; }
+            void consumed(std::size_t) override {}
+
+        private:
+            std::size_t& cancelled_;
+        };
+        calls.push_back(call.id);
+        return std::make_shared<handle>(cancelled);
+    }
+    void on_peer_config(config_message) override {}
+    config_message newest_config() const override { return {}; }
+    void on_peer_death(const death_report&) override {}
+    node_status own_status() override { return {}; }
+    node_status whole_status() override { return {}; }
+    void on_known(const std::vector<peer_address>&) override {}
+
+    std::map<peer_address, int> statuses;
+    std::vector<std::string> calls;
+    std::size_t cancelled = 0;
+};
+
+std::string frame(frame_type type, std::uint64_t stream, std::string_view payload)
+{
+    wire_writer w;
+    w.u32(static_cast<std::uint32_t>(payload.size())).u8(static_cast<std::uint8_t>(type)).u64(stream);
+    w.tail(payload);
+    return w.take();
+}
+
+/// One node of a mesh, and a peer of which the test writes every byte.
+struct mesh_fixture {
+    mesh_fixture()
+        : listen{asio::ip::address_v4::loopback(), free_port(io)}
+    {
+        REQUIRE(mesh.start());
+        peer.connect(listen);
+        hello_message hello;
+        hello.status.self.address = "127.0.0.1:1";
+        write(frame(frame_type::hello, 0, encode(hello)));
+        REQUIRE(run_until(io, [&] { return mesh.linked("127.0.0.1:1"); }));
+    }
+
+    static std::uint16_t free_port(asio::io_context& io)
+    {
+        return asio::ip::tcp::acceptor{io, {asio::ip::address_v4::loopback(), 0}}.local_endpoint().port();
+    }
+
+    void write(const std::string& bytes) { asio::write(peer, asio::buffer(bytes)); }
+
+    std::string call_frame(std::uint64_t stream, const std::string& id)
+    {
+        service_call call;
+        call.id = id;
+        call.service = "s";
+        call.deadline = time.now() + 10s;
+        call.wanted_by = call.deadline;
+        return frame(frame_type::call, stream, encode(call, time.now()));
+    }
+
+    asio::io_context io{1};
+    system_clock_source time;
+    random_source random{1};
+    call_recorder events;
+    asio::ip::tcp::endpoint listen;
+    peer_mesh mesh{io, time, random, listen, events};
+    asio::ip::tcp::socket peer{io};
+};
+
+} // namespace
+
+// Guards against work that is begun for a caller that has gone (GONE): a node that reads its links late finds
+// a call and, right behind it, that its caller has gone.
+TEST_CASE("a call that is cancelled in the bytes behind it is not begun")
+{
+    mesh_fixture f;
+    f.write(f.call_frame(1, "gone") + f.call_frame(3, "wanted") + frame(frame_type::cancel, 1, {}));
+    REQUIRE(run_until(f.io, [&] { return !f.events.calls.empty(); }));
+    settle(f.io);
+    CHECK(f.events.calls == std::vector<std::string>{"wanted"});
+    CHECK(f.events.cancelled == 0);
+}
+
+// Guards against a link that ends with calls in its last bytes: nobody is left to take their answers.
+TEST_CASE("a call on a link that ends behind it is not begun")
+{
+    mesh_fixture f;
+    f.write(f.call_frame(1, "gone"));
+    f.peer.close();
+    REQUIRE(run_until(f.io, [&] { return !f.mesh.linked("127.0.0.1:1"); }));
+    CHECK(f.events.calls.empty());
+}
--- a/tests/system/system_test.cpp
+++ b/tests/system/system_test.cpp
@@ -8,10 +8,12 @@
 #include <csignal>
 #include <fstream>
 #include <future>
+#include <sys/resource.h>
 
 using namespace wagtailhatch;
 using namespace wagtailhatch::testing;
 using namespace std::chrono_literals;
+using namespace std::string_literals;
 
 namespace {
 
@@ -65,6 +67,34 @@
     CHECK(scrape.response.body.find("wh_requests_total") != std::string::npos);
 }
 
+// Guards against callers that wait unnoticed while callers that do nothing hold all descriptors (GONE,
+// gone-overload of Wrapline): requests were read, and begun, long after their callers had left.
+TEST_CASE("a caller that comes when idle callers hold all descriptors is served")
+{
+    deployment d;
+    auto config = example_config(1);
+    config.limits.idle_timeout = 10min;
+    d.configure(config);
+    auto& m = d.add("f1", "front", "north");
+    REQUIRE(d.serving());
+    constexpr rlim_t descriptors = 128;
+    const rlimit limit{descriptors, descriptors};
+    REQUIRE(prlimit(m.node.pid(), RLIMIT_NOFILE, &limit, nullptr) == 0);
+    asio::io_context io{1};
+    std::vector<asio::ip::tcp::socket> idle;
+    for (rlim_t i = 0; i < 2 * descriptors; ++i) {
+        idle.emplace_back(io).connect(parse_address(m.callers()).value());
+        asio::write(idle.back(), asio::buffer("GET /none/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n"s));
+    }
+    for (int i = 0; i < 5; ++i) {
+        const auto r = d.request(m, "GET", "/front/1", "late-" + std::to_string(i));
+        INFO(r.response.status);
+        CHECK(r.response.status == 200);
+    }
+    // The node has kept what it needs to reach its target and the store.
+    CHECK(d.status(m)["target"]["phase"] == "ready");
+}
+
 // Guards against planned stops that cut requests: a node is stopped under load and its callers lose nothing.
 TEST_CASE("a planned stop of a node cuts no request")
 {
