Begin no request whose caller has already closed

Cause: a session handed a request over as soon as its last byte was read, and looked for the end of the connection at the next turn of the event loop. While a node does not accept or read, a request and the close behind it wait together; the request was begun, also at another node, and cancelled a moment later. Change: bytes are read until nothing is left, and requests are handed over after that; those whose caller has closed are counted and logged, and not begun. Costs one read of the socket more for each batch of bytes. The test failed before. That connections wait so long to be accepted is a fault of its own and open.

--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -93,7 +93,10 @@
 
 void byte_stream::read_available()
 {
+    const auto keep = shared_from_this();
     auto& buffer = shared_read_buffer();
+    bool received = false;
+    // Reads on after a short read: the end of the connection may lie right behind the bytes.
     for (int i = 0; i < reads_per_turn && open_ && !paused_; ++i) {
         std::error_code ec;
         const auto n = socket_.read_some(asio::buffer(buffer), ec);
@@ -104,10 +107,11 @@
             fail(ec == asio::error::eof ? std::error_code{} : ec);
             return;
         }
+        received = true;
         on_bytes({buffer.data(), n});
-        if (n < buffer.size()) {
-            break;
-        }
+    }
+    if (received && open_) {
+        on_read_end();
     }
     wait_readable();
 }
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -46,6 +46,10 @@
     /// Bytes that came in; valid during the call.
     virtual void on_bytes(std::string_view bytes) = 0;
 
+    /// Follows one or more on_bytes() once all that has arrived is read, or this turn's share of it. Not
+    /// called if the end of the connection was among it.
+    virtual void on_read_end() {}
+
     /// Bytes left the queue for the socket.
     virtual void on_sent(std::size_t bytes) = 0;
 
--- a/src/http1/caller_session.cpp
+++ b/src/http1/caller_session.cpp
@@ -216,7 +216,17 @@
         rejected_ = true;
     }
     remove_hop_headers(exchange->request.headers);
-    owner_.on_request(std::move(exchange));
+    unstarted_.push_back(std::move(exchange));
+}
+
+void caller_session::on_read_end()
+{
+    const auto keep = shared_from_this();
+    while (!unstarted_.empty()) {
+        auto exchange = std::move(unstarted_.front());
+        unstarted_.pop_front();
+        owner_.on_request(std::move(exchange));
+    }
 }
 
 void caller_session::reject(int status)
@@ -289,6 +299,7 @@
 void caller_session::drop_all()
 {
     auto dropped = std::exchange(exchanges_, {});
+    unstarted_.clear();
     current_ = nullptr;
     for (const auto& exchange : dropped) {
         exchange->gone_ = true;
@@ -300,6 +311,9 @@
 
 void caller_session::on_closed(const std::error_code&)
 {
+    for (const auto& exchange : unstarted_) {
+        owner_.on_request_abandoned(*exchange);
+    }
     drop_all();
     owner_.on_session_end(this);
 }
--- a/src/http1/caller_session.h
+++ b/src/http1/caller_session.h
@@ -20,8 +20,11 @@
 public:
     virtual ~caller_session_owner() = default;
 
-    /// A whole request has been read.
+    /// A whole request has been read, and its caller had not closed the connection by then.
     virtual void on_request(std::shared_ptr<caller_exchange> exchange) = 0;
+
+    /// A whole request has been read, but its caller has closed the connection behind it.
+    virtual void on_request_abandoned(const caller_exchange& exchange) = 0;
     virtual const caller_limits& limits() const = 0;
 
     /// Whether the node is stopping: answers announce the end of their connection.
@@ -71,6 +74,7 @@
 
     // byte_stream
     void on_bytes(std::string_view bytes) override;
+    void on_read_end() override;
     void on_sent(std::size_t bytes) override;
     void on_closed(const std::error_code& reason) override;
 
@@ -91,6 +95,7 @@
     message_parser parser_;
     std::shared_ptr<caller_exchange> current_; ///< Being read; its head is complete.
     std::deque<std::shared_ptr<caller_exchange>> exchanges_;
+    std::deque<std::shared_ptr<caller_exchange>> unstarted_; ///< Of exchanges_, those not handed over yet.
     std::size_t body_reserved_ = 0; ///< Bytes taken for the bodies of current_ and exchanges_.
     steady_time last_activity_{};
     bool rejected_ = false;  ///< No further request is read.
--- a/src/node/entry_router.cpp
+++ b/src/node/entry_router.cpp
@@ -30,6 +30,13 @@
     std::make_shared<entry_call>(*this, std::move(exchange))->start();
 }
 
+void entry_router::note_abandoned(const caller_exchange& exchange)
+{
+    numbers_.gone.add();
+    auto headers = exchange.request.headers;
+    log(log_level::info, "caller gone", {{"id", dialect_.read_request(headers).id}, {"begun", false}});
+}
+
 void entry_router::set_configuration(std::shared_ptr<const configuration> config)
 {
     config_ = std::move(config);
--- a/src/node/entry_router.h
+++ b/src/node/entry_router.h
@@ -57,6 +57,9 @@
 
     void handle(std::shared_ptr<caller_exchange> exchange);
 
+    /// Counts and logs a request that is not begun, as its caller has gone.
+    void note_abandoned(const caller_exchange& exchange);
+
     void set_configuration(std::shared_ptr<const configuration> config);
     const configuration* config() const { return config_.get(); }
 
--- a/src/node/traffic_plane.h
+++ b/src/node/traffic_plane.h
@@ -97,6 +97,7 @@
 
     // caller_session_owner
     void on_request(std::shared_ptr<caller_exchange> exchange) override;
+    void on_request_abandoned(const caller_exchange& exchange) override { router_.note_abandoned(exchange); }
     const caller_limits& limits() const override;
     bool draining() const override { return drain_.begun(); }
     bool reserve_body(std::size_t bytes) override;
--- a/tests/http1/caller_session_test.cpp
+++ b/tests/http1/caller_session_test.cpp
@@ -33,6 +33,7 @@
     {
         requests.push_back(std::move(exchange));
     }
+    void on_request_abandoned(const caller_exchange&) override { ++abandoned; }
     const caller_limits& limits() const override { return bounds; }
     bool draining() const override { return stopping; }
     bool reserve_body(std::size_t bytes) override
@@ -53,6 +54,7 @@
     std::vector<std::shared_ptr<caller_exchange>> requests;
     std::set<std::shared_ptr<caller_session>> sessions;
     std::size_t accepted = 0;
+    std::size_t abandoned = 0;
     std::size_t held = 0;
     std::size_t most_held = std::size_t{1} << 20;
     bool stopping = false;
@@ -133,6 +135,7 @@
     caller.close();
     REQUIRE(f.wait([&] { return f.host.accepted > 0 && f.host.sessions.empty(); }));
     CHECK(f.host.requests.empty());
+    CHECK(f.host.abandoned == 1);
 }
 
 // Guards against work that goes on for a caller that has gone: while reading pauses, because the caller sent
