Notice the end of a connection while reading from it pauses

Cause: a session reads 32 requests ahead and then pauses until answers have left. While it pauses nobody looked at the connection, so the node worked on for a caller that had gone. Change: the periodic check of the sessions asks the socket of a paused one whether its peer has closed.

--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -5,6 +5,7 @@
 #include <asio/post.hpp>
 
 #include <array>
+#include <poll.h>
 #include <utility>
 
 namespace wagtailhatch {
@@ -53,6 +54,17 @@
     wait_readable();
 }
 
+void byte_stream::check_peer_while_paused()
+{
+    if (!open_ || !paused_) {
+        return;
+    }
+    pollfd state{socket_.native_handle(), POLLRDHUP, 0};
+    if (poll(&state, 1, 0) == 1 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+        fail({});
+    }
+}
+
 void byte_stream::close()
 {
     if (!std::exchange(open_, false)) {
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -24,7 +24,8 @@
     /// Queues bytes and writes as much as the socket takes now.
     void send(std::string bytes);
 
-    /// Stops and resumes reading. While it is stopped the end of the connection is not noticed.
+    /// Stops and resumes reading. While it is stopped only check_peer_while_paused() notices the end of the
+    /// connection.
     void pause_reading();
     void resume_reading();
 
@@ -40,6 +41,10 @@
     /// Starts reading; the socket is connected.
     void start_reading();
 
+    /// Notices the end of the connection while reading is paused, also behind unread bytes. Costs a system
+    /// call.
+    void check_peer_while_paused();
+
     /// Ends the sending side once everything is written; reading goes on.
     void finish_sending();
 
--- a/src/http1/caller_session.cpp
+++ b/src/http1/caller_session.cpp
@@ -344,12 +344,16 @@
     }
 }
 
-void caller_session::check_timeouts(steady_time now)
+void caller_session::check(steady_time now)
 {
     if (!is_open()) {
         return;
     }
     const auto keep = shared_from_this();
+    check_peer_while_paused();
+    if (!is_open()) {
+        return;
+    }
     const auto quiet = now - last_activity_;
     const auto& limits = owner_.limits();
     if (lingering_) {
--- a/src/http1/caller_session.h
+++ b/src/http1/caller_session.h
@@ -59,8 +59,9 @@
 
     void start();
 
-    /// Ends the connection if a time limit has passed.
-    void check_timeouts(steady_time now);
+    /// Ends the connection if a time limit has passed, or if its caller has gone while reading is paused. To be
+    /// called several times a second.
+    void check(steady_time now);
 
     /// Closes the connection unless a request is being read or answered.
     void close_if_idle();
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -191,7 +191,7 @@
     check_accepting(now);
     const auto copy = sessions_;
     for (const auto& [raw, session] : copy) {
-        session->check_timeouts(now);
+        session->check(now);
     }
     gate_.close_expired();
     report_load();
--- a/tests/http1/caller_session_test.cpp
+++ b/tests/http1/caller_session_test.cpp
@@ -154,7 +154,7 @@
     client.hang_up();
     settle(f.io);
     for (const auto& s : std::set<std::shared_ptr<caller_session>>{f.host.sessions}) {
-        s->check_timeouts(f.host.now.now());
+        s->check(f.host.now.now());
     }
     CHECK(f.host.sessions.empty());
     CHECK(std::all_of(f.host.requests.begin(), f.host.requests.end(),
@@ -229,7 +229,7 @@
     settle(f.io);
     const auto check = [&] {
         for (const auto& s : std::set<std::shared_ptr<caller_session>>{f.host.sessions}) {
-            s->check_timeouts(f.host.now.now());
+            s->check(f.host.now.now());
         }
     };
     f.host.now.advance(f.host.bounds.header_timeout + 1ms);
