Begin no call of a peer whose cancellation has already arrived

Cause: the frames of a link were obeyed one by one. When a node reads a link late, a call and its cancellation, or the end of the link, lie one behind the other: the call was sent to the target and cancelled at once, which a target counts as work for a caller that has gone. Change: calls are begun when all frames that had arrived are read; those that were cancelled among them are logged and dropped.

--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "include/call/service_call.h"
 #include "include/core/clock.h"
 #include "include/peer/peer_messages.h"
 #include "src/http1/byte_stream.h"
@@ -9,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace wagtailhatch {
 
@@ -23,9 +25,17 @@
     /// A connection that this side dialled is up.
     virtual void on_link_open(peer_link& link) = 0;
     virtual void on_frame(peer_link& link, frame_type type, stream_id stream, std::string_view payload) = 0;
+    /// The frames that had arrived on the link have been handed over.
+    virtual void on_frames_end(peer_link& link) = 0;
     virtual void on_link_end(peer_link& link) = 0;
 };
 
+/// A call of a peer that has been read.
+struct unstarted_call {
+    stream_id stream = 0;
+    service_call call;
+};
+
 /// Frames over one connection between two nodes; calls go both ways on it. One thread.
 class peer_link final : public byte_stream {
 public:
@@ -51,11 +61,14 @@
 
     /// Calls that this side made.
     std::unordered_map<stream_id, std::shared_ptr<reply_sink>> calls;
-    /// Calls that the peer made.
+    /// Calls that the peer made and that are not begun: its cancellation may be among the frames that follow.
+    std::vector<unstarted_call> unstarted;
+    /// Calls that the peer made and that are begun.
     std::unordered_map<stream_id, std::shared_ptr<call_handle>> incoming;
 
 private:
     void on_bytes(std::string_view bytes) override;
+    void on_read_end() override { owner_.on_frames_end(*this); }
     void on_sent(std::size_t) override {}
     void on_closed(const std::error_code& reason) override;
 
--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -108,6 +108,11 @@
     stream_id stream_;
 };
 
+void log_unstarted(const unstarted_call& unstarted)
+{
+    log(log_level::info, "work cancelled", {{"id", unstarted.call.id}, {"begun", false}});
+}
+
 std::size_t window_size(std::string_view payload)
 {
     std::size_t bytes = 0;
@@ -389,6 +394,9 @@
     for (auto& [stream, sink] : calls) {
         sink->on_failure({refusal_reason::connection_lost, true, true, {}, {}}, {});
     }
+    for (const auto& unstarted : std::exchange(link.unstarted, {})) {
+        log_unstarted(unstarted);
+    }
     auto incoming = std::exchange(link.incoming, {});
     for (auto& [stream, handle] : incoming) {
         handle->cancel();
@@ -412,11 +420,7 @@
         on_call(link, stream, payload);
         return;
     case frame_type::cancel:
-        if (const auto found = link.incoming.find(stream); found != link.incoming.end()) {
-            const auto handle = found->second;
-            link.incoming.erase(found);
-            handle->cancel();
-        }
+        on_cancel(link, stream);
         return;
     case frame_type::window:
         if (const auto found = link.incoming.find(stream); found != link.incoming.end()) {
@@ -498,14 +502,39 @@
 void peer_mesh::on_call(peer_link& link, stream_id stream, std::string_view payload)
 {
     auto call = decode_call(payload, time_.now());
-    const auto keep = std::static_pointer_cast<peer_link>(link.shared_from_this());
-    const auto sink = std::make_shared<incoming_sink>(keep, stream);
     if (!call) {
         log(log_level::warning, "peer call malformed", {{"peer", link.peer}});
-        sink->on_failure({refusal_reason::malformed, false, false, {}, {}}, {});
+        const auto keep = std::static_pointer_cast<peer_link>(link.shared_from_this());
+        incoming_sink{keep, stream}.on_failure({refusal_reason::malformed, false, false, {}, {}}, {});
         return;
     }
-    link.incoming.emplace(stream, events_.on_peer_call(std::move(*call), sink));
+    link.unstarted.push_back({stream, std::move(*call)});
+}
+
+void peer_mesh::on_frames_end(peer_link& link)
+{
+    const auto keep = std::static_pointer_cast<peer_link>(link.shared_from_this());
+    auto calls = std::exchange(link.unstarted, {});
+    for (auto& [stream, call] : calls) {
+        link.incoming.emplace(
+            stream, events_.on_peer_call(std::move(call), std::make_shared<incoming_sink>(keep, stream)));
+    }
+}
+
+void peer_mesh::on_cancel(peer_link& link, stream_id stream)
+{
+    const auto unstarted = std::find_if(link.unstarted.begin(), link.unstarted.end(),
+                                        [&](const unstarted_call& c) { return c.stream == stream; });
+    if (unstarted != link.unstarted.end()) {
+        log_unstarted(*unstarted);
+        link.unstarted.erase(unstarted);
+        return;
+    }
+    if (const auto found = link.incoming.find(stream); found != link.incoming.end()) {
+        const auto handle = found->second;
+        link.incoming.erase(found);
+        handle->cancel();
+    }
 }
 
 void peer_mesh::on_answer(peer_link& link, frame_type type, stream_id stream, std::string_view payload)
--- a/src/peer/peer_mesh.h
+++ b/src/peer/peer_mesh.h
@@ -105,6 +105,7 @@
     };
 
     void on_frame(peer_link& link, frame_type type, stream_id stream, std::string_view payload) override;
+    void on_frames_end(peer_link& link) override;
     void on_link_open(peer_link& link) override;
     void on_link_end(peer_link& link) override;
 
@@ -122,6 +123,7 @@
     void close_spare(peer_link& link);
     void on_status(peer_link& link, std::string_view payload);
     void on_call(peer_link& link, stream_id stream, std::string_view payload);
+    static void on_cancel(peer_link& link, stream_id stream);
     void on_answer(peer_link& link, frame_type type, stream_id stream, std::string_view payload);
 
     asio::io_context& io_;
