Close callers' longest idle connections before descriptors run out

Cause: a caller that is refused comes back on a new connection and leaves the old one open. A node kept idle connections for their whole idle time-out, so that 3,772 of its 3,900 descriptors were idle callers 3.6 s after a flood began. Accepting failed from then on, 50 ms apart, and new callers waited in the listen queue. Links to peers and connections to the target share the descriptors. Ruled out: processor time (no event loop more than 100 ms late). Change: callers get three quarters of the descriptors of the settings, or of the process. Beyond that, and whenever accepting fails, the connections that have been idle for longest are closed, a sixteenth at a time; none that is answering, and none that became idle in the last 200 ms. Accepting and the table of sessions move from the traffic plane to a module of their own. Why it works: closing an idle connection costs its caller at most a new one, and a request that crosses the close was not read, which callers may always send again.

--- a/include/config/node_settings.h
+++ b/include/config/node_settings.h
@@ -5,6 +5,7 @@
 #include "include/observe/logging.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -39,6 +40,7 @@
     std::string target;              ///< Address of the target; required.
     std::string store;               ///< Address of the platform's store; required.
     std::vector<peer_address> seeds; ///< Nodes to ask while the store is away. Default: none.
+    std::size_t max_descriptors = 0; ///< That the process may hold; 0: what the system allows it.
     log_level level = log_level::info;
     fleet_bounds bounds;
 
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::size_t max_settings_size = std::size_t{64} * 1024;
 constexpr auto longest_time = 1h;
+// Enough for the listeners, the store and a few connections.
+constexpr std::size_t least_descriptors = 64;
+constexpr std::size_t most_descriptors = 1'000'000;
 
 class settings_reader {
 public:
@@ -26,14 +29,20 @@
 
     node_settings read(const yaml_tree& root)
     {
-        if (!read_.check_fields(
-                root, "the settings file", {"instance", "data_centre", "service", "target", "store"},
-                {"callers", "peers", "readiness", "control", "metrics", "seeds", "log_level", "bounds"})) {
+        if (!read_.check_fields(root, "the settings file",
+                                {"instance", "data_centre", "service", "target", "store"},
+                                {"callers", "peers", "readiness", "control", "metrics", "seeds", "log_level",
+                                 "max_descriptors", "bounds"})) {
             return {};
         }
         read_names(root);
         read_addresses(root);
         read_level(root);
+        if (const auto* descriptors = root.find("max_descriptors")) {
+            settings_.max_descriptors =
+                read_.integer(*descriptors, "max_descriptors", least_descriptors, most_descriptors)
+                    .value_or(0);
+        }
         if (const auto* bounds = root.find("bounds")) {
             read_bounds(*bounds);
         }
--- /dev/null
+++ b/src/http1/caller_listener.cpp
@@ -0,0 +1,192 @@
+#include "src/http1/caller_listener.h"
+
+#include "include/observe/logging.h"
+#include "src/core/socket_address.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace wagtailhatch {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t max_body_bytes = std::size_t{64} << 20;
+constexpr duration accept_pause = 50ms;
+// Accepting counts as failing until it has not failed for this long.
+constexpr duration accept_recovery = 1s;
+// One part in this many of the connections is closed at a time to make room: looking for the idle ones takes
+// a pass over all.
+constexpr std::size_t closed_part = 16;
+// The first request of a connection, or the next one, may be on its way.
+constexpr duration least_idle = 200ms;
+
+} // namespace
+
+caller_listener::caller_listener(asio::io_context& io, const clock& time, caller_listener_options options,
+                                 caller_listener_events& events)
+    : io_{io}
+    , time_{time}
+    , options_{std::move(options)}
+    , events_{events}
+    , acceptor_{io}
+    , pause_timer_{io}
+{
+}
+
+caller_listener::~caller_listener()
+{
+    close();
+}
+
+result<bool> caller_listener::start()
+{
+    if (const auto error = listen_on(acceptor_, options_.address)) {
+        return make_error(errc::unavailable,
+                          "callers' listener " + format_address(options_.address) + ": " + error.message());
+    }
+    accept();
+    return true;
+}
+
+void caller_listener::stop_accepting()
+{
+    std::error_code ignored;
+    acceptor_.close(ignored);
+    pause_timer_.cancel();
+}
+
+void caller_listener::close()
+{
+    stop_accepting();
+    const auto sessions = std::exchange(sessions_, {});
+    for (const auto& [raw, session] : sessions) {
+        session->close();
+    }
+}
+
+void caller_listener::accept()
+{
+    acceptor_.async_accept([this](const std::error_code& ec, asio::ip::tcp::socket socket) {
+        if (acceptor_.is_open()) {
+            on_accept(ec, std::move(socket));
+        }
+    });
+}
+
+void caller_listener::on_accept(const std::error_code& ec, asio::ip::tcp::socket socket)
+{
+    if (!ec) {
+        const auto session =
+            std::make_shared<caller_session>(std::move(socket), static_cast<caller_session_owner&>(*this));
+        sessions_.emplace(session.get(), session);
+        session->start();
+        if (sessions_.size() > options_.max_connections) {
+            close_longest_idle();
+        }
+        accept();
+        return;
+    }
+    note_failure(ec);
+    // Out of descriptors, as a rule: others must close first.
+    if (close_longest_idle()) {
+        accept();
+        return;
+    }
+    pause_timer_.expires_after(accept_pause);
+    pause_timer_.async_wait([this](const std::error_code& cancelled) {
+        if (!cancelled) {
+            accept();
+        }
+    });
+}
+
+bool caller_listener::close_longest_idle()
+{
+    const auto now = time_.now();
+    std::vector<caller_session*> idle;
+    for (const auto& [raw, session] : sessions_) {
+        if (session->state() == session_state::idle && now - session->last_activity() >= least_idle) {
+            idle.push_back(raw);
+        }
+    }
+    if (idle.empty()) {
+        return false;
+    }
+    const auto count = std::min(idle.size(), sessions_.size() / closed_part + 1);
+    const auto end = idle.begin() + static_cast<std::ptrdiff_t>(count);
+    std::nth_element(idle.begin(), end - 1, idle.end(),
+                     [](const auto* a, const auto* b) { return a->last_activity() < b->last_activity(); });
+    log(log_level::info, "idle callers closed", {{"closed", count}, {"sessions", sessions_.size()}});
+    std::for_each(idle.begin(), end, [](auto* session) { session->close_if_idle(); });
+    return true;
+}
+
+void caller_listener::note_failure(const std::error_code& reason)
+{
+    events_.on_accept_failure();
+    last_accept_failure_ = time_.now();
+    if (accept_failures_++ > 0) {
+        return;
+    }
+    first_accept_failure_ = last_accept_failure_;
+    const auto sessions = count_sessions();
+    log(log_level::warning, "callers not accepted",
+        {{"error", reason.message()},
+         {"idle", sessions.at(static_cast<std::size_t>(session_state::idle))},
+         {"reading", sessions.at(static_cast<std::size_t>(session_state::reading))},
+         {"answering", sessions.at(static_cast<std::size_t>(session_state::answering))},
+         {"closing", sessions.at(static_cast<std::size_t>(session_state::closing))}});
+}
+
+void caller_listener::check_accepting(steady_time now)
+{
+    if (accept_failures_ > 0 && now - last_accept_failure_ > accept_recovery) {
+        const std::chrono::duration<double, std::milli> failing =
+            last_accept_failure_ - first_accept_failure_;
+        log(log_level::info, "callers accepted again",
+            {{"failures", accept_failures_}, {"after_ms", failing.count()}});
+        accept_failures_ = 0;
+    }
+}
+
+void caller_listener::check_sessions()
+{
+    const auto now = time_.now();
+    check_accepting(now);
+    const auto copy = sessions_;
+    for (const auto& [raw, session] : copy) {
+        session->check(now);
+    }
+}
+
+session_counts caller_listener::count_sessions() const
+{
+    session_counts counts{};
+    for (const auto& [raw, session] : sessions_) {
+        ++counts.at(static_cast<std::size_t>(session->state()));
+    }
+    return counts;
+}
+
+void caller_listener::on_request(std::shared_ptr<caller_exchange> exchange)
+{
+    events_.on_request(std::move(exchange));
+}
+
+void caller_listener::on_request_abandoned(const caller_exchange& exchange)
+{
+    events_.on_request_abandoned(exchange);
+}
+
+bool caller_listener::reserve_body(std::size_t bytes)
+{
+    if (body_bytes_ + bytes > max_body_bytes) {
+        return false;
+    }
+    body_bytes_ += bytes;
+    return true;
+}
+
+} // namespace wagtailhatch
--- /dev/null
+++ b/src/http1/caller_listener.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "include/config/configuration.h"
+#include "include/core/clock.h"
+#include "include/core/result.h"
+#include "src/http1/caller_session.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+namespace wagtailhatch {
+
+/// What the listener asks and tells its owner.
+class caller_listener_events {
+public:
+    virtual ~caller_listener_events() = default;
+
+    /// A whole request of a caller that had not closed its connection by then.
+    virtual void on_request(std::shared_ptr<caller_exchange> exchange) = 0;
+
+    /// A whole request of a caller that has closed its connection.
+    virtual void on_request_abandoned(const caller_exchange& exchange) = 0;
+
+    /// A caller's connection could not be accepted.
+    virtual void on_accept_failure() = 0;
+
+    virtual const caller_limits& limits() const = 0;
+
+    /// Whether the node is stopping.
+    virtual bool draining() const = 0;
+};
+
+struct caller_listener_options {
+    asio::ip::tcp::endpoint address;
+    /// Connections beyond this number close the ones that have been idle for longest.
+    std::size_t max_connections = 0;
+};
+
+/// Number of sessions in each session_state.
+using session_counts = std::array<std::size_t, session_state_names.size()>;
+
+/// Accepts callers and holds their connections. Idle connections give way to new ones before the process runs
+/// out of descriptors, so that new callers are not left waiting unnoticed. One thread.
+class caller_listener final : private caller_session_owner {
+public:
+    caller_listener(asio::io_context& io, const clock& time, caller_listener_options options,
+                    caller_listener_events& events);
+    ~caller_listener() override;
+    caller_listener(const caller_listener&) = delete;
+    caller_listener& operator=(const caller_listener&) = delete;
+
+    /// Errors: errc::unavailable with the address.
+    result<bool> start();
+
+    /// Accepts no more callers; open connections go on.
+    void stop_accepting();
+
+    /// Closes all connections.
+    void close();
+
+    /// Ends connections whose time is up or whose callers have gone; to be called several times a second.
+    void check_sessions();
+
+    std::size_t size() const { return sessions_.size(); }
+    session_counts count_sessions() const;
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+private:
+    // caller_session_owner
+    void on_request(std::shared_ptr<caller_exchange> exchange) override;
+    void on_request_abandoned(const caller_exchange& exchange) override;
+    const caller_limits& limits() const override { return events_.limits(); }
+    bool draining() const override { return events_.draining(); }
+    bool reserve_body(std::size_t bytes) override;
+    void release_body(std::size_t bytes) override { body_bytes_ -= bytes; }
+    const clock& time() const override { return time_; }
+    void on_session_end(caller_session* session) override { sessions_.erase(session); }
+
+    void accept();
+    void on_accept(const std::error_code& ec, asio::ip::tcp::socket socket);
+    void note_failure(const std::error_code& reason);
+    void check_accepting(steady_time now);
+    /// Closes the part of the connections that has been idle for longest; false if none has been idle long
+    /// enough.
+    bool close_longest_idle();
+
+    asio::io_context& io_;
+    const clock& time_;
+    caller_listener_options options_;
+    caller_listener_events& events_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer pause_timer_;
+    std::unordered_map<caller_session*, std::shared_ptr<caller_session>> sessions_;
+    std::size_t body_bytes_ = 0;        ///< Of request bodies held.
+    std::uint64_t accept_failures_ = 0; ///< Of the current series.
+    steady_time first_accept_failure_{};
+    steady_time last_accept_failure_{};
+};
+
+} // namespace wagtailhatch
--- a/src/http1/caller_session.cpp
+++ b/src/http1/caller_session.cpp
@@ -222,10 +222,12 @@
 void caller_session::on_read_end()
 {
     const auto keep = shared_from_this();
-    while (!unstarted_.empty()) {
-        auto exchange = std::move(unstarted_.front());
-        unstarted_.pop_front();
-        owner_.on_request(std::move(exchange));
+    auto requests = std::exchange(unstarted_, {});
+    for (auto& exchange : requests) {
+        // An answer that ends the connection drops the requests behind it.
+        if (!exchange->gone()) {
+            owner_.on_request(std::move(exchange));
+        }
     }
 }
 
--- a/src/http1/caller_session.h
+++ b/src/http1/caller_session.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string_view>
+#include <vector>
 
 namespace wagtailhatch {
 
@@ -59,8 +60,8 @@
 
     void start();
 
-    /// Ends the connection if a time limit has passed, or if its caller has gone while reading is paused. To be
-    /// called several times a second.
+    /// Ends the connection if a time limit has passed, or if its caller has gone while reading is paused. To
+    /// be called several times a second.
     void check(steady_time now);
 
     /// Closes the connection unless a request is being read or answered.
@@ -70,6 +71,9 @@
     bool idle() const { return exchanges_.empty() && !current_ && !parser_.started(); }
     session_state state() const;
 
+    /// When the last request or answer ended, or bytes of a new request came.
+    steady_time last_activity() const { return last_activity_; }
+
 private:
     friend class caller_exchange;
 
@@ -96,7 +100,7 @@
     message_parser parser_;
     std::shared_ptr<caller_exchange> current_; ///< Being read; its head is complete.
     std::deque<std::shared_ptr<caller_exchange>> exchanges_;
-    std::deque<std::shared_ptr<caller_exchange>> unstarted_; ///< Of exchanges_, those not handed over yet.
+    std::vector<std::shared_ptr<caller_exchange>> unstarted_; ///< Of exchanges_, those not handed over yet.
     std::size_t body_reserved_ = 0; ///< Bytes taken for the bodies of current_ and exchanges_.
     steady_time last_activity_{};
     bool rejected_ = false;  ///< No further request is read.
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -8,7 +8,9 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <random>
+#include <sys/resource.h>
 #include <utility>
 
 namespace wagtailhatch {
@@ -17,14 +19,12 @@
 using namespace std::chrono_literals;
 
 constexpr duration sweep_interval = 250ms;
-constexpr std::size_t max_body_bytes = std::size_t{64} << 20;
 // A node that is no longer needed as a reader of the store goes on for this long, so that readers that come
 // and go in quick succession cost no calls.
 constexpr duration reader_overlap = 2s;
 constexpr duration config_ask_interval = 500ms;
-constexpr duration accept_pause = 50ms;
-// Accepting counts as failing until it has not failed for this long.
-constexpr duration accept_recovery = 1s;
+// Part of the descriptors that callers may take; the others are for peers, the target, the store and files.
+constexpr double callers_part = 0.75;
 // A periodic task that runs this late is reported: requests and hang-ups are noticed as late.
 constexpr duration noteworthy_lag = 100ms;
 
@@ -34,6 +34,22 @@
     return (std::uint64_t{device()} << 32U) | device();
 }
 
+std::size_t max_descriptors(const node_settings& settings)
+{
+    rlimit limit{};
+    const bool known = getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+    const auto most =
+        known ? static_cast<std::size_t>(limit.rlim_cur) : std::numeric_limits<std::size_t>::max();
+    return settings.max_descriptors > 0 ? std::min(settings.max_descriptors, most) : most;
+}
+
+caller_listener_options listener_options(const node_settings& settings)
+{
+    const auto callers = callers_part * static_cast<double>(max_descriptors(settings));
+    return {parse_address(settings.callers).value_or(asio::ip::tcp::endpoint{}),
+            static_cast<std::size_t>(callers)};
+}
+
 target_gate_options gate_options(const node_settings& settings)
 {
     target_gate_options options;
@@ -58,7 +74,7 @@
     , gate_{io, time, dialect, gate_options(settings_)}
     , mesh_{io, time, random_, parse_address(settings_.peers).value_or(asio::ip::tcp::endpoint{}), *this}
     , router_{io, time, random_, dialect, settings_, numbers, *this}
-    , acceptor_{io}
+    , callers_{io, time, listener_options(settings_), *this}
     , sweep_timer_{io}
     , drain_{settings_.bounds.stop_time}
 {
@@ -78,89 +94,23 @@
 
 void traffic_plane::close()
 {
-    std::error_code ignored;
-    acceptor_.close(ignored);
     sweep_timer_.cancel();
     mesh_.stop();
-    const auto sessions = std::exchange(sessions_, {});
-    for (const auto& [raw, session] : sessions) {
-        session->close();
-    }
+    callers_.close();
 }
 
 result<bool> traffic_plane::start()
 {
-    const auto address = parse_address(settings_.callers);
-    if (!address) {
-        return make_error(errc::invalid_argument, "callers' address " + settings_.callers);
-    }
-    if (const auto error = listen_on(acceptor_, *address)) {
-        return make_error(errc::unavailable,
-                          "callers' listener " + settings_.callers + ": " + error.message());
+    if (auto started = callers_.start(); !started) {
+        return started;
     }
     if (auto started = mesh_.start(); !started) {
         return started;
     }
-    accept();
     sweep();
     return true;
 }
 
-void traffic_plane::accept()
-{
-    acceptor_.async_accept([this](const std::error_code& ec, asio::ip::tcp::socket socket) {
-        if (!acceptor_.is_open()) {
-            return;
-        }
-        if (!ec) {
-            const auto session = std::make_shared<caller_session>(std::move(socket),
-                                                                  static_cast<caller_session_owner&>(*this));
-            sessions_.emplace(session.get(), session);
-            session->start();
-            accept();
-            return;
-        }
-        // Out of descriptors, as a rule: others must close first.
-        on_accept_failure(ec);
-        const auto pause = std::make_shared<asio::steady_timer>(io_, accept_pause);
-        pause->async_wait([this, pause](const std::error_code&) { accept(); });
-    });
-}
-
-void traffic_plane::on_accept_failure(const std::error_code& reason)
-{
-    numbers_.callers_not_accepted.add();
-    last_accept_failure_ = time_.now();
-    if (accept_failures_++ > 0) {
-        return;
-    }
-    first_accept_failure_ = last_accept_failure_;
-    const auto sessions = count_sessions();
-    log(log_level::warning, "callers not accepted",
-        {{"error", reason.message()},
-         {"idle", sessions.at(static_cast<std::size_t>(session_state::idle))},
-         {"reading", sessions.at(static_cast<std::size_t>(session_state::reading))},
-         {"answering", sessions.at(static_cast<std::size_t>(session_state::answering))},
-         {"closing", sessions.at(static_cast<std::size_t>(session_state::closing))}});
-}
-
-void traffic_plane::check_accepting(steady_time now)
-{
-    if (accept_failures_ > 0 && now - last_accept_failure_ > accept_recovery) {
-        log(log_level::info, "callers accepted again",
-            {{"failures", accept_failures_},
-             {"after_ms",
-              std::chrono::duration<double, std::milli>(last_accept_failure_ - first_accept_failure_)
-                  .count()}});
-        accept_failures_ = 0;
-    }
-}
-
-void traffic_plane::on_session_end(caller_session* session)
-{
-    sessions_.erase(session);
-}
-
 void traffic_plane::note_lag(steady_time now)
 {
     const auto due = sweep_timer_.expiry();
@@ -169,30 +119,16 @@
     if (lag > noteworthy_lag) {
         log(log_level::warning, "event loop late",
             {{"lag_ms", std::chrono::duration<double, std::milli>(lag).count()},
-             {"sessions", sessions_.size()},
+             {"sessions", callers_.size()},
              {"entry_requests", router_.in_progress()},
              {"target_requests", gate_.in_progress()}});
     }
 }
 
-session_counts traffic_plane::count_sessions() const
-{
-    session_counts counts{};
-    for (const auto& [raw, session] : sessions_) {
-        ++counts.at(static_cast<std::size_t>(session->state()));
-    }
-    return counts;
-}
-
 void traffic_plane::sweep()
 {
-    const auto now = time_.now();
-    note_lag(now);
-    check_accepting(now);
-    const auto copy = sessions_;
-    for (const auto& [raw, session] : copy) {
-        session->check(now);
-    }
+    note_lag(time_.now());
+    callers_.check_sessions();
     gate_.close_expired();
     report_load();
     if (suspects_ != current_suspects()) {
@@ -213,15 +149,6 @@
     return config_.content ? config_.content->limits : default_limits_;
 }
 
-bool traffic_plane::reserve_body(std::size_t bytes)
-{
-    if (body_bytes_ + bytes > max_body_bytes) {
-        return false;
-    }
-    body_bytes_ += bytes;
-    return true;
-}
-
 void traffic_plane::on_request(std::shared_ptr<caller_exchange> exchange)
 {
     if (stopped_ || drain_.refuses(time_.now())) {
@@ -502,8 +429,7 @@
     if (drain_.over(now, quiet)) {
         log(log_level::info, "drained",
             {{"entry_requests", router_.in_progress()}, {"target_requests", gate_.in_progress()}});
-        std::error_code ignored;
-        acceptor_.close(ignored);
+        callers_.stop_accepting();
         stopped_ = true;
         // Until the process ends, calls may still arrive on open connections: none of them would end.
         auto target = gate_.target();
@@ -521,7 +447,7 @@
     numbers_.target_limit.set(load.limit);
     numbers_.target_queued.set(load.queued);
     numbers_.peers.set(static_cast<double>(mesh_.link_count()));
-    const auto sessions = count_sessions();
+    const auto sessions = callers_.count_sessions();
     for (std::size_t state = 0; state < sessions.size(); ++state) {
         numbers_.caller_connections[state].set(static_cast<double>(sessions.at(state)));
     }
--- a/src/node/traffic_plane.h
+++ b/src/node/traffic_plane.h
@@ -10,21 +10,19 @@
 #include "include/membership/target_state.h"
 #include "include/observe/metrics.h"
 #include "src/call/target_gate.h"
-#include "src/http1/caller_session.h"
+#include "src/http1/caller_listener.h"
 #include "src/node/entry_router.h"
 #include "src/peer/peer_mesh.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace wagtailhatch {
@@ -45,11 +43,8 @@
     std::function<void(bool)> read_store;
 };
 
-/// Sessions by session_state.
-using session_counts = std::array<std::size_t, session_state_names.size()>;
-
 /// The requests: callers' connections, the links to other nodes and the way to the target. One thread.
-class traffic_plane final : private peer_mesh_events, private caller_session_owner, private call_carrier {
+class traffic_plane final : private peer_mesh_events, private caller_listener_events, private call_carrier {
 public:
     traffic_plane(asio::io_context& io, const clock& time, node_settings settings,
                   const caller_dialect& dialect, node_metrics& numbers, std::uint64_t seed,
@@ -95,15 +90,12 @@
     node_status whole_status() override;
     void on_known(const std::vector<peer_address>& addresses) override;
 
-    // caller_session_owner
+    // caller_listener_events
     void on_request(std::shared_ptr<caller_exchange> exchange) override;
     void on_request_abandoned(const caller_exchange& exchange) override { router_.note_abandoned(exchange); }
     const caller_limits& limits() const override;
     bool draining() const override { return drain_.begun(); }
-    bool reserve_body(std::size_t bytes) override;
-    void release_body(std::size_t bytes) override { body_bytes_ -= bytes; }
-    const clock& time() const override { return time_; }
-    void on_session_end(caller_session* session) override;
+    void on_accept_failure() override { numbers_.callers_not_accepted.add(); }
 
     // call_carrier
     std::shared_ptr<call_handle> carry(const member& to, service_call call,
@@ -111,9 +103,6 @@
     const service_call* running(const std::string& id) const override { return gate_.running(id); }
     void on_own_call(const std::string& parent, bool failed) override { gate_.on_own_call(parent, failed); }
 
-    void accept();
-    void on_accept_failure(const std::error_code& reason);
-    void check_accepting(steady_time now);
     void sweep();
     void note_lag(steady_time now);
     void refresh_members();
@@ -121,8 +110,6 @@
     void check_drained();
     void elect_store_readers();
     void report_load();
-    /// Number of sessions in each session_state.
-    session_counts count_sessions() const;
     member self() const;
 
     asio::io_context& io_;
@@ -138,17 +125,12 @@
     target_gate gate_;
     peer_mesh mesh_;
     entry_router router_;
-    asio::ip::tcp::acceptor acceptor_;
+    caller_listener callers_;
     asio::steady_timer sweep_timer_;
-    std::unordered_map<caller_session*, std::shared_ptr<caller_session>> sessions_;
-    std::uint64_t accept_failures_ = 0; ///< Of the current series.
-    steady_time first_accept_failure_{};
-    steady_time last_accept_failure_{};
     std::map<peer_address, node_status> peers_; ///< With a link.
     std::set<peer_address> suspects_;           ///< Of these, those that calls avoid.
     std::uint64_t config_asked_ = 0;            ///< Newest version that a peer was asked for.
     steady_time config_asked_at_{};
-    std::size_t body_bytes_ = 0; ///< Of request bodies held.
     bool store_contact_ = false;
     bool reads_store_ = true;
     steady_time store_needed_{}; ///< Last time at which this node was one of the readers of the store.
--- /dev/null
+++ b/tests/http1/caller_listener_test.cpp
@@ -0,0 +1,94 @@
+#include "src/http1/caller_listener.h"
+#include "tests/http/raw_peer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wagtailhatch;
+using namespace wagtailhatch::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t max_connections = 8;
+
+/// A listener whose requests are answered at once unless the test holds them.
+struct listener_fixture final : caller_listener_events {
+    listener_fixture() { REQUIRE(listener.start()); }
+
+    void on_request(std::shared_ptr<caller_exchange> exchange) override
+    {
+        if (!holding) {
+            exchange->respond({200, {}, "ok"});
+        }
+        requests.push_back(std::move(exchange));
+    }
+    void on_request_abandoned(const caller_exchange&) override {}
+    void on_accept_failure() override {}
+    const caller_limits& limits() const override { return bounds; }
+    bool draining() const override { return false; }
+
+    std::unique_ptr<raw_client> connect() { return std::make_unique<raw_client>(io, listener.port()); }
+
+    /// A caller that has sent a request and been answered, or waits for its answer while `holding`.
+    std::unique_ptr<raw_client> caller()
+    {
+        auto client = connect();
+        const auto before = requests.size();
+        client->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        REQUIRE(run_until(io, [&] { return requests.size() > before; }));
+        if (!holding) {
+            REQUIRE(run_until(io, [&] { return !client->received().empty(); }));
+        }
+        time.advance(100ms);
+        return client;
+    }
+
+    asio::io_context io{1};
+    manual_clock time;
+    caller_limits bounds;
+    std::vector<std::shared_ptr<caller_exchange>> requests;
+    bool holding = false;
+    caller_listener listener{io, time, {{asio::ip::address_v4::loopback(), 0}, max_connections}, *this};
+};
+
+} // namespace
+
+// Pattern: a flood of callers that leave each connection open and come back on a new one. Guards against a
+// process without descriptors, at which new callers wait unnoticed (GONE, gone-overload of Wrapline).
+TEST_CASE("connections beyond the limit close those that have been idle for longest")
+{
+    listener_fixture f;
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (std::size_t i = 0; i < max_connections; ++i) {
+        clients.push_back(f.caller());
+    }
+    CHECK(f.listener.size() == max_connections);
+    // The oldest connection is the one that was used last.
+    clients[0]->send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(run_until(f.io, [&] { return f.requests.size() == max_connections + 1; }));
+    f.time.advance(100ms);
+    clients.push_back(f.caller());
+    CHECK(f.listener.size() <= max_connections);
+    REQUIRE(run_until(f.io, [&] { return clients[1]->ended(); }));
+    CHECK_FALSE(clients[0]->ended());
+    CHECK_FALSE(clients.back()->ended());
+}
+
+// Guards against making room at the price of callers that wait for an answer.
+TEST_CASE("connections that wait for an answer are not closed to make room")
+{
+    listener_fixture f;
+    std::vector<std::unique_ptr<raw_client>> clients;
+    f.holding = true;
+    for (std::size_t i = 0; i < max_connections + 4; ++i) {
+        clients.push_back(f.caller());
+    }
+    f.holding = false;
+    for (const auto& exchange : f.requests) {
+        exchange->respond({200, {}, "late"});
+    }
+    CHECK(run_until(f.io, [&] {
+        return std::all_of(clients.begin(), clients.end(),
+                           [](const auto& c) { return !c->received().empty(); });
+    }));
+}
--- a/tests/platform/boot_settings_test.cpp
+++ b/tests/platform/boot_settings_test.cpp
@@ -21,6 +21,8 @@
 Seeds:
   - "10.1.0.7:8540"
 HeartbeatS: 1.5
+Limits:
+  MaxFds: 4100
 Bounds:
   DrainS: 2.5
   GraceS: 6
@@ -50,6 +52,7 @@
     CHECK(s.value->store == "10.200.1.7:8545");
     CHECK(s.value->metrics == "10.1.0.26:7015");
     CHECK(s.value->seeds == std::vector<peer_address>{"10.1.0.7:8543"});
+    CHECK(s.value->max_descriptors == 4100);
     CHECK(s.value->bounds.leave_time == 2500ms);
     CHECK(s.value->bounds.retry_slack == 48);
     CHECK(s.value->bounds.announce_interval == 1500ms);
--- a/tests/system/deployment.cpp
+++ b/tests/system/deployment.cpp
@@ -14,6 +14,7 @@
 #include <random>
 #include <set>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <thread>
 
 namespace wagtailhatch::testing {
@@ -122,6 +123,9 @@
                        ":8543\nreadiness: " + m.readiness() + "\ncontrol: " + m.control() +
                        "\nmetrics: " + m.metrics() +
                        "\nlog_level: debug\nbounds: {stop_time: 6s, rate_overage: 0.1}\n";
+    if (max_descriptors_ > 0) {
+        text += "max_descriptors: " + std::to_string(max_descriptors_) + "\n";
+    }
     if (!machines_.empty()) {
         text += "seeds: [\"" + machines_.begin()->second.ip + ":8543\"]\n";
     }
@@ -134,6 +138,12 @@
     std::ofstream{file} << settings_text(m);
     const auto name = "node-" + m.name + "-" + std::to_string(++m.incarnations);
     m.node = child_process{name, folder_, {program("wagtailhatch-node"), "--settings", file}};
+    if (max_descriptors_ > 0) {
+        const rlimit limit{max_descriptors_, max_descriptors_};
+        if (prlimit(m.node.pid(), RLIMIT_NOFILE, &limit, nullptr) != 0) {
+            throw std::runtime_error("descriptors not limited");
+        }
+    }
 }
 
 void deployment::start_target(machine& m, std::vector<std::string> extra)
--- a/tests/system/deployment.h
+++ b/tests/system/deployment.h
@@ -84,6 +84,9 @@
         store_of_[machine] = address;
     }
 
+    /// Nodes that are added later may hold this many descriptors, and are told so.
+    void limit_descriptors(std::size_t most) { max_descriptors_ = most; }
+
     /// Its result is the first line of NAME.out in folder().
     child_process start_caller(const std::vector<std::string>& flags, const std::string& name = "caller");
 
@@ -103,6 +106,7 @@
     std::vector<child_process> store_;
     std::map<std::string, machine> machines_;
     int last_host_ = 0;
+    std::size_t max_descriptors_ = 0; ///< Of a node; 0: not limited.
 };
 
 /// Services front -> back, a route for each, an order route, and one workspace.
--- a/tests/system/system_test.cpp
+++ b/tests/system/system_test.cpp
@@ -8,7 +8,6 @@
 #include <csignal>
 #include <fstream>
 #include <future>
-#include <sys/resource.h>
 
 using namespace wagtailhatch;
 using namespace wagtailhatch::testing;
@@ -75,14 +74,13 @@
     auto config = example_config(1);
     config.limits.idle_timeout = 10min;
     d.configure(config);
+    constexpr std::size_t descriptors = 128;
+    d.limit_descriptors(descriptors);
     auto& m = d.add("f1", "front", "north");
     REQUIRE(d.serving());
-    constexpr rlim_t descriptors = 128;
-    const rlimit limit{descriptors, descriptors};
-    REQUIRE(prlimit(m.node.pid(), RLIMIT_NOFILE, &limit, nullptr) == 0);
     asio::io_context io{1};
     std::vector<asio::ip::tcp::socket> idle;
-    for (rlim_t i = 0; i < 2 * descriptors; ++i) {
+    for (std::size_t i = 0; i < 2 * descriptors; ++i) {
         idle.emplace_back(io).connect(parse_address(m.callers()).value());
         asio::write(idle.back(), asio::buffer("GET /none/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n"s));
     }
