Bound what is read of a target that sends bytes without end

What callers would see: a node that runs out of memory, or a slot of the target that never comes back. Cause: the head of an answer had a bound, but interim answers and answers to older requests began a new head each, extensions of chunks were not counted, and an answer without the target's mark was held whole whatever its size. An order whose caller had gone kept its slot until its target answered, with no end to the wait. Change: what is read of an exchange beyond its body is bounded (256 KiB, and eight bytes for each of the body); an answer that is not the target's ends at the bound up to which answers are held; an order that nobody waits for ends half a second after its deadline, when the target has stopped by itself. Evidence: tests with a target that never stops sending.

--- a/src/call/gate_call.cpp
+++ b/src/call/gate_call.cpp
@@ -10,10 +10,14 @@
 namespace wagtailhatch {
 namespace {
 
+using namespace std::chrono_literals;
+
 // Answers up to this size are held until they are complete.
 constexpr std::size_t whole_answer_limit = std::size_t{64} << 10;
 // Bytes on their way to a caller before reading from the target pauses.
 constexpr std::size_t stream_window = std::size_t{128} << 10;
+// A target ends its work at the deadline; its answer may still be on its way.
+constexpr duration abandoned_grace = 500ms;
 
 bool is_success(int status)
 {
@@ -102,7 +106,12 @@
     if (!sink_) {
         return;
     }
-    if (!streaming_ && response_.body.size() + bytes.size() > whole_answer_limit && genuine_ && !encoded_) {
+    const bool held = !streaming_ && response_.body.size() + bytes.size() > whole_answer_limit;
+    if (held && (!genuine_ || encoded_)) {
+        give_up_oversized();
+        return;
+    }
+    if (held) {
         begin_stream();
         if (sink_ && !response_.body.empty()) {
             in_flight_ += response_.body.size();
@@ -137,13 +146,47 @@
     return not_executed_ || response_.status == http_status::misdirected_request;
 }
 
+void gate_call::fail_rejected()
+{
+    fail(response_.status == http_status::misdirected_request ? refusal_reason::no_target
+                                                              : refusal_reason::overload,
+         false, false);
+}
+
+void gate_call::give_up_oversized()
+{
+    const auto keep = shared_from_this();
+    log(log_level::warning, "answer too large",
+        {{"id", call_.id}, {"target", gate_.target_.id}, {"status", response_.status}});
+    if (const auto connection = connection_.lock()) {
+        connection->cancel();
+    }
+    if (rejected_by_target()) {
+        fail_rejected();
+    }
+    else {
+        fail(refusal_reason::malformed, true, true);
+    }
+}
+
+void gate_call::end_if_abandoned(steady_time now)
+{
+    if (!sent_ || sink_ || now < call_.deadline + abandoned_grace) {
+        return;
+    }
+    const auto keep = shared_from_this();
+    log(log_level::warning, "order without an answer", {{"id", call_.id}, {"target", gate_.target_.id}});
+    if (const auto connection = connection_.lock()) {
+        connection->cancel();
+    }
+    gate_.finished(*this, false);
+}
+
 void gate_call::on_answer_end()
 {
     const auto keep = shared_from_this();
     if (rejected_by_target()) {
-        fail(response_.status == http_status::misdirected_request ? refusal_reason::no_target
-                                                                  : refusal_reason::overload,
-             false, false);
+        fail_rejected();
         return;
     }
     if ((is_success(response_.status) && !genuine_) || encoded_) {
--- a/src/call/gate_call.h
+++ b/src/call/gate_call.h
@@ -37,9 +37,15 @@
     void on_answer_end() override;
     void on_target_failure(target_failure failure) override;
 
+    /// Gives up an order whose caller has gone and whose target has not answered by its deadline.
+    void end_if_abandoned(steady_time now);
+
 private:
     void begin_stream();
     void fail(refusal_reason reason, bool may_have_run, bool success);
+    void fail_rejected();
+    /// Ends an answer that is not the target's and larger than what is held of one.
+    void give_up_oversized();
     bool rejected_by_target() const;
 
     target_gate& gate_;
--- a/src/call/target_gate.cpp
+++ b/src/call/target_gate.cpp
@@ -155,6 +155,16 @@
     asio::post(io_, [this] { run_admission(); });
 }
 
+void target_gate::sweep()
+{
+    pool_.close_expired();
+    const auto now = time_.now();
+    const auto copy = calls_;
+    for (const auto& [ticket, call] : copy) {
+        call->end_if_abandoned(now);
+    }
+}
+
 void target_gate::withdraw(gate_call& call)
 {
     admission_.cancel(call.ticket());
--- a/src/call/target_gate.h
+++ b/src/call/target_gate.h
@@ -76,7 +76,9 @@
     double capacity() const { return admission_.capacity(); }
     /// Estimated demand of each class, for logs.
     std::string demand_text() const;
-    void close_expired() { pool_.close_expired(); }
+    /// Ends what has outlived its time: idle connections and requests that nobody waits for. To be called
+    /// several times a second.
+    void sweep();
     const target_pool& pool() const { return pool_; }
 
 private:
--- a/src/http1/caller_listener.cpp
+++ b/src/http1/caller_listener.cpp
@@ -62,7 +62,7 @@
     stop_accepting();
     const auto sessions = std::exchange(sessions_, {});
     for (const auto& [raw, session] : sessions) {
-        session->close();
+        session->end();
     }
 }
 
--- a/src/http1/caller_listener.h
+++ b/src/http1/caller_listener.h
@@ -62,7 +62,7 @@
     /// Accepts no more callers; open connections go on.
     void stop_accepting();
 
-    /// Closes all connections.
+    /// Closes all connections; requests in progress are told that their callers have gone.
     void close();
 
     /// Ends connections whose time is up or whose callers have gone; to be called several times a second.
--- a/src/http1/caller_session.h
+++ b/src/http1/caller_session.h
@@ -64,6 +64,9 @@
     /// be called several times a second.
     void check(steady_time now);
 
+    /// Closes the connection; requests in progress are told that their caller has gone.
+    void end();
+
     /// Closes the connection unless a request is being read or answered.
     void close_if_idle();
 
@@ -94,7 +97,6 @@
     void end_answer();
     void linger();
     void drop_all();
-    void end();
 
     caller_session_owner& owner_;
     message_parser parser_;
--- a/src/http1/target_connection.cpp
+++ b/src/http1/target_connection.cpp
@@ -17,6 +17,10 @@
 constexpr std::size_t max_answer_head = std::size_t{64} << 10;
 // The target is on the same machine; without a sign of life for this long the connection is lost.
 constexpr auto target_silence = 2000ms;
+// Heads, interim answers, answers to older requests and the framing of chunks.
+constexpr std::size_t max_overhead = std::size_t{256} << 10;
+// A chunk of one byte takes five more.
+constexpr std::size_t max_overhead_per_byte = 8;
 constexpr duration default_idle_limit = 4s;
 // The target closes by its own clock; a request must not cross that close.
 constexpr duration reuse_margin = 700ms;
@@ -60,6 +64,8 @@
 {
     events_ = std::move(events);
     head_request_ = head_request;
+    delivered_ = 0;
+    overhead_ = 0;
     parser_.reset(head_request);
     send(std::move(request));
 }
@@ -105,8 +111,14 @@
             end();
             return;
         }
+        const auto delivered = delivered_;
         const auto [status, consumed] = parser_.parse(bytes);
         bytes.remove_prefix(consumed);
+        overhead_ += consumed - (delivered_ - delivered);
+        if (events_ && too_much_overhead()) {
+            fail(parser_.head_complete() && !skipping_ ? target_failure::cut : target_failure::garbled);
+            return;
+        }
         switch (status) {
         case parse_status::need_more:
             return;
@@ -159,6 +171,7 @@
 void target_connection::on_body(std::string_view bytes)
 {
     if (events_ && !skipping_) {
+        delivered_ += bytes.size();
         events_->on_answer_data(bytes);
     }
 }
@@ -186,6 +199,11 @@
     }
 }
 
+bool target_connection::too_much_overhead() const
+{
+    return overhead_ > max_overhead + max_overhead_per_byte * delivered_;
+}
+
 void target_connection::on_closed(const std::error_code& reason)
 {
     if (!events_) {
--- a/src/http1/target_connection.h
+++ b/src/http1/target_connection.h
@@ -4,6 +4,7 @@
 #include "src/http1/byte_stream.h"
 #include "src/http1/message_parser.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -76,6 +77,8 @@
     void fail(target_failure failure);
     void end();
     void note_keep_alive(const message_head& head);
+    /// Whether more bytes came that are no part of the answer than any sound target sends.
+    bool too_much_overhead() const;
 
     target_connection_owner& owner_;
     const clock& time_;
@@ -83,6 +86,8 @@
     std::shared_ptr<target_events> events_;
     steady_time idle_since_{};
     duration idle_limit_{};
+    std::size_t delivered_ = 0; ///< Bytes of the body in progress.
+    std::size_t overhead_ = 0;  ///< Other bytes that were read in this exchange.
     bool head_request_ = false;
     bool connecting_ = false;
     bool skipping_ = false; ///< The response in progress belongs to an earlier request.
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -129,7 +129,7 @@
 {
     note_lag(time_.now());
     callers_.check_sessions();
-    gate_.close_expired();
+    gate_.sweep();
     report_load();
     if (suspects_ != current_suspects()) {
         refresh_members();
--- a/tests/call/target_gate_test.cpp
+++ b/tests/call/target_gate_test.cpp
@@ -1,5 +1,6 @@
 #include "src/call/target_gate.h"
 #include "src/core/socket_address.h"
+#include "tests/http/endless_server.h"
 #include "tests/http/raw_peer.h"
 
 #include <catch2/catch.hpp>
@@ -52,23 +53,26 @@
     std::optional<call_failure> failure;
 };
 
-struct fixture {
-    explicit fixture(raw_server::script script, std::uint32_t slots = 1)
-        : server{io, std::move(script)}
+/// A gate before a target.
+template <typename Server>
+struct gate_fixture {
+    template <typename... Arguments>
+    explicit gate_fixture(std::uint32_t slots, Arguments&&... arguments)
+        : server{io, std::forward<Arguments>(arguments)...}
         , gate{io, time, dialect, {"front", *parse_address(server.address()), {}}}
     {
         gate.set_target({"i-1", target_phase::ready, slots, {}});
     }
 
     std::shared_ptr<sink_recorder> start(const std::string& id, bool idempotent = true,
-                                         importance level = importance::normal)
+                                         importance level = importance::normal, duration time_left = 10s)
     {
         service_call call;
         call.id = id;
         call.service = "front";
         call.idempotent = idempotent;
         call.level = level;
-        call.deadline = time.now() + 10s;
+        call.deadline = time.now() + time_left;
         call.wanted_by = call.deadline;
         call.fingerprint = std::hash<std::string>{}(id);
         call.request = {"GET", "/" + id, {}, {}};
@@ -81,11 +85,25 @@
     asio::io_context io{1};
     system_clock_source time;
     plain_dialect dialect;
-    raw_server server;
+    Server server;
     target_gate gate;
     std::vector<std::shared_ptr<call_handle>> handles;
 };
 
+struct fixture : gate_fixture<raw_server> {
+    explicit fixture(raw_server::script script, std::uint32_t slots = 1)
+        : gate_fixture{slots, std::move(script)}
+    {
+    }
+};
+
+struct endless_fixture : gate_fixture<endless_server> {
+    endless_fixture(const std::string& begin, const std::string& filler)
+        : gate_fixture{1, begin, filler}
+    {
+    }
+};
+
 std::string answer(const std::string& id, const std::string& extra, const std::string& body, int status = 200)
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nId: " + id + "\r\n" + extra +
@@ -193,6 +211,63 @@
     CHECK(sink->data.size() == body.size());
 }
 
+// Pattern: a target in trouble sends a body without end that is no answer. Guards against a node that holds
+// it until its memory is used up.
+TEST_CASE("a body without end that is not the target's is given up at a bound")
+{
+    struct row {
+        std::string what;
+        std::string head;
+        bool may_have_run;
+    };
+    for (const auto& r : std::vector<row>{
+             {"without its mark", "HTTP/1.1 200 OK\r\nId: a\r\n\r\n", true},
+             {"a failure without its mark", "HTTP/1.1 500 X\r\nId: a\r\n\r\n", true},
+             {"encoded", "HTTP/1.1 200 OK\r\nId: a\r\nMark: 1\r\nContent-Encoding: gzip\r\n\r\n", true},
+             {"a rejection", "HTTP/1.1 503 X\r\nId: a\r\nNot-Run: 1\r\n\r\n", false}}) {
+        INFO(r.what);
+        endless_fixture f{r.head, "x"};
+        const auto sink = f.start("a");
+        REQUIRE(f.wait([&] { return sink->over(); }));
+        REQUIRE(sink->failure);
+        CHECK(sink->failure->may_have_run == r.may_have_run);
+        CHECK(f.wait([&] { return f.server.ended() == 1; }));
+        CHECK(f.gate.in_progress() == 0);
+    }
+}
+
+// Guards against an answer without end that fills the memory while its caller reads slowly or not at all.
+TEST_CASE("an answer without end is read only as fast as its caller takes it")
+{
+    endless_fixture f{"HTTP/1.1 200 OK\r\nId: a\r\nMark: 1\r\n\r\n", "x"};
+    const auto sink = f.start("a");
+    REQUIRE(f.wait([&] { return sink->data.size() > 100'000; }));
+    settle(f.io);
+    constexpr std::size_t most_held = std::size_t{1} << 20;
+    CHECK(sink->data.size() < most_held);
+    f.handles[0]->cancel();
+    CHECK(f.wait([&] { return f.server.ended() == 1; }));
+}
+
+// Guards against a slot that is held for ever by an order whose caller has gone and whose target never ends
+// its answer, or never begins one.
+TEST_CASE("an order without an answer is given up after its deadline")
+{
+    for (const std::string begin : {"", "HTTP/1.1 200 OK\r\nId: a\r\nMark: 1\r\n\r\n"}) {
+        INFO(begin);
+        endless_fixture f{begin, begin.empty() ? "\r\n" : "x"};
+        const auto sink = f.start("a", false, importance::normal, 50ms);
+        REQUIRE(f.wait([&] { return f.server.requests() == 1; }));
+        f.handles[0]->cancel();
+        CHECK(f.gate.in_progress() == 1);
+        CHECK(f.wait([&] {
+            f.gate.sweep();
+            return f.gate.in_progress() == 0;
+        }));
+        CHECK(f.wait([&] { return f.server.ended() == 1; }));
+    }
+}
+
 // Pattern: a request that kills its target. Guards against one request taking down every target that runs it.
 TEST_CASE("a request that was running at two deaths is held back")
 {
--- a/tests/http1/target_pool_test.cpp
+++ b/tests/http1/target_pool_test.cpp
@@ -1,5 +1,6 @@
 #include "src/core/socket_address.h"
 #include "src/http1/target_pool.h"
+#include "tests/http/endless_server.h"
 #include "tests/http/raw_peer.h"
 
 #include <catch2/catch.hpp>
@@ -172,3 +173,38 @@
     REQUIRE(run_until(io, [&] { return seen->over(); }));
     CHECK(seen->failure == target_failure::refused);
 }
+
+// Pattern: a target in trouble sends bytes that are no answer, without end. Guards against a connection that
+// is read for ever, and against heads that fill the memory.
+TEST_CASE("bytes without end that are no answer end the exchange")
+{
+    struct endless {
+        std::string what;
+        std::string begin;
+        std::string filler;
+        target_failure expected;
+    };
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto& r : std::vector<endless>{
+             {"one header", ok + "X: ", "a", target_failure::garbled},
+             {"headers", ok, "X: a\r\n", target_failure::garbled},
+             {"interim answers", "HTTP/1.1 ", "100 Continue\r\n\r\nHTTP/1.1 ", target_failure::garbled},
+             {"older answers", "HTTP/1.1 ", "200 OK\r\nId: 0\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 ",
+              target_failure::garbled},
+             {"the body of an older answer", "HTTP/1.1 200 OK\r\nId: 0\r\n\r\n", "x",
+              target_failure::garbled},
+             {"a chunk's extension", chunked + "1;", "a", target_failure::cut},
+             {"trailers", chunked + "0\r\n", "X: a\r\n", target_failure::cut}}) {
+        INFO(r.what);
+        asio::io_context io{1};
+        const manual_clock time;
+        endless_server server{io, r.begin, r.filler};
+        target_pool pool{io, time, *parse_address(server.address())};
+        const auto seen = std::make_shared<answer_recorder>();
+        pool.start({request}, seen);
+        REQUIRE(run_until(io, [&] { return seen->over(); }));
+        CHECK(seen->failure == r.expected);
+        CHECK(run_until(io, [&] { return server.ended() == 1; }));
+        CHECK(pool.connections() == 0);
+    }
+}
