Hold no memory for the queues of idle connections

A std::deque allocates when it is made, even if it stays empty: over 1 KB for each connection with its two queues. Lists take their place; their order of use is the same.

--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -4,7 +4,7 @@
 #include <asio/ip/tcp.hpp>
 
 #include <cstddef>
-#include <deque>
+#include <list>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -71,8 +71,8 @@
     void fail(const std::error_code& reason);
 
     asio::ip::tcp::socket socket_;
-    std::deque<std::string> queue_;
-    std::size_t front_sent_ = 0; ///< Bytes of the first queued string that are written.
+    std::list<std::string> queue_; ///< Holds no memory while it is empty, unlike a deque.
+    std::size_t front_sent_ = 0;   ///< Bytes of the first queued string that are written.
     std::size_t unsent_ = 0;
     bool open_ = false;
     bool reading_ = false; ///< A wait for readability is pending.
--- a/src/http1/caller_session.h
+++ b/src/http1/caller_session.h
@@ -8,8 +8,8 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string_view>
 #include <vector>
@@ -100,8 +100,8 @@
 
     caller_session_owner& owner_;
     message_parser parser_;
-    std::shared_ptr<caller_exchange> current_; ///< Being read; its head is complete.
-    std::deque<std::shared_ptr<caller_exchange>> exchanges_;
+    std::shared_ptr<caller_exchange> current_;                ///< Being read; its head is complete.
+    std::list<std::shared_ptr<caller_exchange>> exchanges_;   ///< In the order of the requests.
     std::vector<std::shared_ptr<caller_exchange>> unstarted_; ///< Of exchanges_, those not handed over yet.
     std::size_t body_reserved_ = 0; ///< Bytes taken for the bodies of current_ and exchanges_.
     steady_time last_activity_{};
