--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -25,6 +25,8 @@
 constexpr duration longest_backoff = 2s;
 constexpr duration dial_timeout = 1s;
 constexpr duration hello_timeout = 1s;
+// Out of descriptors, as a rule: others must close first.
+constexpr duration peer_accept_pause = 100ms;
 // Dials in one tick, so that a start among many nodes does not open all links in one moment.
 constexpr int dials_per_tick = 24;
 
@@ -133,6 +135,7 @@
     , self_{format_address(listen_)}
     , events_{events}
     , acceptor_{io}
+    , accept_timer_{io}
     , tick_timer_{io}
     , publish_timer_{io}
 {
@@ -160,6 +163,7 @@
     }
     std::error_code ignored;
     acceptor_.close(ignored);
+    accept_timer_.cancel();
     tick_timer_.cancel();
     publish_timer_.cancel();
     for (const auto& link : std::exchange(all_, {})) {
@@ -178,11 +182,21 @@
                                                           static_cast<peer_link_owner&>(*this), time_, false);
             all_.insert(link);
             link->start();
+            accept();
+            return;
         }
-        else {
-            log(log_level::warning, "peer connection not accepted", {{"error", ec.message()}});
+        log(log_level::warning, "peer connection not accepted", {{"error", ec.message()}});
+        accept_later();
+    });
+}
+
+void peer_mesh::accept_later()
+{
+    accept_timer_.expires_after(peer_accept_pause);
+    accept_timer_.async_wait([this](const std::error_code& ec) {
+        if (!ec && !stopped_) {
+            accept();
         }
-        accept();
     });
 }
 
--- a/src/peer/peer_mesh.h
+++ b/src/peer/peer_mesh.h
@@ -110,6 +110,7 @@
     void on_link_end(peer_link& link) override;
 
     void accept();
+    void accept_later();
     void tick();
     void dial_missing(steady_time now);
     void dial(const peer_address& address, contact& c);
@@ -133,6 +134,7 @@
     peer_address self_;
     peer_mesh_events& events_;
     asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer accept_timer_;
     asio::steady_timer tick_timer_;
     std::map<peer_address, contact> contacts_;
     std::map<peer_address, std::shared_ptr<peer_link>> links_; ///< Used for new calls.
--- a/tests/peer/peer_mesh_test.cpp
+++ b/tests/peer/peer_mesh_test.cpp
@@ -5,6 +5,8 @@
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
+
 using namespace wagtailhatch;
 using namespace wagtailhatch::test;
 using namespace std::chrono_literals;
@@ -91,6 +93,24 @@
     asio::ip::tcp::socket peer{io};
 };
 
+/// Leaves this process without a free descriptor, except those that are open.
+class no_descriptors {
+public:
+    no_descriptors()
+    {
+        getrlimit(RLIMIT_NOFILE, &before_);
+        auto none = before_;
+        none.rlim_cur = 0;
+        setrlimit(RLIMIT_NOFILE, &none);
+    }
+    ~no_descriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
+    no_descriptors(const no_descriptors&) = delete;
+    no_descriptors& operator=(const no_descriptors&) = delete;
+
+private:
+    rlimit before_{};
+};
+
 } // namespace
 
 // Guards against work that is begun for a caller that has gone (GONE): a node that reads its links late finds
@@ -114,3 +134,23 @@
     REQUIRE(run_until(f.io, [&] { return !f.mesh.linked("127.0.0.1:1"); }));
     CHECK(f.events.calls.empty());
 }
+
+// Guards against an event loop that does nothing but try to accept, and writes a line each time, while the
+// process has no descriptor left.
+TEST_CASE("a peer that cannot be accepted is tried again after a pause")
+{
+    mesh_fixture f;
+    asio::ip::tcp::socket other{f.io};
+    other.connect(f.listen);
+    std::size_t handlers = 0;
+    {
+        const no_descriptors none;
+        f.io.restart();
+        handlers = f.io.run_for(200ms);
+    }
+    CHECK(handlers < 50);
+    hello_message hello;
+    hello.status.self.address = "127.0.0.1:2";
+    asio::write(other, asio::buffer(frame(frame_type::hello, 0, encode(hello))));
+    CHECK(run_until(f.io, [&] { return f.mesh.linked("127.0.0.1:2"); }));
+}
