Count store calls by outcome and time that calls wait for their target

The store's calls are counted by a wrapper of its interface; the gate tells how long each call waited before it was sent.

--- a/src/call/gate_call.cpp
+++ b/src/call/gate_call.cpp
@@ -40,10 +40,13 @@
 {
     sent_ = true;
     gate_.running_[call_.id] = this;
+    const auto now = gate_.time_.now();
+    if (gate_.sent_callback_) {
+        gate_.sent_callback_(now - arrived_);
+    }
     auto request = std::move(call_.request);
     target_facts facts;
-    facts.time_left =
-        std::chrono::duration_cast<std::chrono::milliseconds>(call_.deadline - gate_.time_.now());
+    facts.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(call_.deadline - now);
     facts.expected_instance = gate_.target_.id;
     facts.workspace = call_.workspace;
     facts.origin = call_.origin;
--- a/src/call/target_gate.h
+++ b/src/call/target_gate.h
@@ -57,6 +57,9 @@
         path_pressure_ = std::move(pressure);
     }
 
+    /// Runs with the time from a call's arrival to its sending, for each call that is sent.
+    void on_sent(std::function<void(duration waited)> callback) { sent_callback_ = std::move(callback); }
+
     /// A call that the target made for the request `parent` has ended.
     void on_own_call(const std::string& parent, bool failed);
 
@@ -118,6 +121,7 @@
     };
     std::vector<lost_run> lost_runs_; ///< Whose connection ended without an answer a moment ago.
     std::function<void(const death_report&)> death_callback_;
+    std::function<void(duration waited)> sent_callback_;
 };
 
 } // namespace wagtailhatch
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -7,6 +7,7 @@
 #include "platform/target_messages.h"
 #include "platform/wire_dialect.h"
 #include "src/core/socket_address.h"
+#include "src/store/metered_row_store.h"
 
 #include <utility>
 
@@ -65,7 +66,8 @@
         return http.failure();
     }
     http_ = std::move(*http);
-    store_ = platform::make_store_client(*http_, {settings_.store});
+    client_ = platform::make_store_client(*http_, {settings_.store});
+    store_ = make_metered_row_store(*client_, numbers_);
     if (auto done = listen(settings_.readiness, [this](auto exchange) { serve_readiness(*exchange); });
         !done) {
         return done;
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -81,7 +81,8 @@
     metrics& numbers_;
     control_events events_;
     std::unique_ptr<http_client> http_;
-    std::unique_ptr<row_store> store_;
+    std::unique_ptr<row_store> client_; ///< Of the platform's store.
+    std::unique_ptr<row_store> store_;  ///< The same, with its calls counted.
     std::unique_ptr<config_follower> config_;
     std::unique_ptr<node_registry> registry_;
     std::vector<std::unique_ptr<http_server>> servers_;
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -20,6 +20,9 @@
     , gone{registry.counter(requests_name, requests_help, {{"outcome", "caller_gone"}})}
     , request_seconds{registry.histogram(
           "wh_request_seconds", "Time from a whole request to its answer, seconds", latency_buckets())}
+    , queue_seconds{registry.histogram("wh_queue_seconds",
+                                       "Time that a call waited for the target before it was sent, seconds",
+                                       latency_buckets())}
     , target_in_flight{registry.gauge("wh_target_in_flight", "Requests that the target runs")}
     , target_limit{registry.gauge("wh_target_limit", "Requests that the target may run at once")}
     , target_queued{registry.gauge("wh_target_queued", "Requests that wait for the target")}
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -20,6 +20,7 @@
     counter_metric repeats;
     counter_metric gone;
     histogram_metric request_seconds;
+    histogram_metric queue_seconds;
     gauge_metric target_in_flight;
     gauge_metric target_limit;
     gauge_metric target_queued;
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -79,6 +79,7 @@
     , drain_{settings_.bounds.stop_time}
 {
     gate_.set_path_pressure([this](std::string_view route) { return router_.path_pressure(route); });
+    gate_.on_sent([this](duration waited) { numbers_.queue_seconds.observe(to_seconds(waited)); });
     gate_.on_death([this](const death_report& report) {
         mesh_.publish_death(report);
         refresh_members();
--- a/tests/call/target_gate_test.cpp
+++ b/tests/call/target_gate_test.cpp
@@ -146,8 +146,9 @@
 // a lesser request before a greater one.
 TEST_CASE("requests wait for a slot in the order of their class")
 {
-    std::vector<std::string> order{"a", "c", "b"};
     fixture f{[&](std::size_t) { return raw_server::action{}; }};
+    std::vector<duration> waits;
+    f.gate.on_sent([&](duration waited) { waits.push_back(waited); });
     const auto a = f.start("a");
     const auto b = f.start("b", true, importance::low);
     const auto c = f.start("c", true, importance::critical);
@@ -161,6 +162,9 @@
     REQUIRE(f.wait([&] { return f.server.requests() == 3; }));
     f.server.send(0, answer("b", "Mark: 1\r\n", ""));
     CHECK(f.wait([&] { return a->over() && b->over() && c->over(); }));
+    REQUIRE(waits.size() == 3);
+    CHECK(waits[0] < waits[1]);
+    CHECK(waits[1] < waits[2]);
 }
 
 // Guards against new work after the acknowledgement of a leaving target.
--- /dev/null
+++ b/tests/http1/socket_options_test.cpp
@@ -0,0 +1,42 @@
+#include "src/http1/socket_options.h"
+
+#include <asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+using namespace wagtailhatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+int option_of(asio::ip::tcp::socket& socket, int level, int name)
+{
+    int value = 0;
+    socklen_t size = sizeof value;
+    REQUIRE(getsockopt(socket.native_handle(), level, name, &value, &size) == 0);
+    return value;
+}
+
+} // namespace
+
+// Guards against a connection whose other end has silently gone and that looks healthy for ever: without
+// unacknowledged bytes only probes notice it, with them only the user timeout does so in time.
+TEST_CASE("a configured socket ends after the given silence, with and without bytes on their way")
+{
+    asio::io_context io{1};
+    asio::ip::tcp::acceptor acceptor{io, {asio::ip::address_v4::loopback(), 0}};
+    asio::ip::tcp::socket socket{io};
+    socket.connect(acceptor.local_endpoint());
+    const auto silence = GENERATE(1500ms, 3000ms, 10000ms);
+    configure_socket(socket, silence);
+    CHECK(option_of(socket, IPPROTO_TCP, TCP_USER_TIMEOUT) == silence.count());
+    CHECK(option_of(socket, SOL_SOCKET, SO_KEEPALIVE) == 1);
+    const auto idle = std::chrono::seconds{option_of(socket, IPPROTO_TCP, TCP_KEEPIDLE)};
+    const auto interval = std::chrono::seconds{option_of(socket, IPPROTO_TCP, TCP_KEEPINTVL)};
+    const auto count = option_of(socket, IPPROTO_TCP, TCP_KEEPCNT);
+    // Probes are set in whole seconds, of at least one.
+    CHECK(idle + interval * count <= silence * 2 + 3s);
+    CHECK(idle <= std::max<std::chrono::milliseconds>(silence, 1s));
+}
--- a/tests/system/system_test.cpp
+++ b/tests/system/system_test.cpp
@@ -63,7 +63,11 @@
     CHECK(s.request(s.at("f1"), "GET", "/front/1", "no-key", "").response.status == 401);
     CHECK(s.request(s.at("f1"), "GET", "/none/1", "no-route").response.status == 404);
     const auto scrape = send(s.at("f1").metrics(), {"GET", "/metrics", {}, {}});
-    CHECK(scrape.response.body.find("wh_requests_total") != std::string::npos);
+    for (const auto* metric : {"wh_requests_total", "wh_store_calls_total", "wh_queue_seconds_count",
+                               "wh_caller_connections", "wh_event_loop_lag_seconds"}) {
+        INFO(metric);
+        CHECK(scrape.response.body.find(metric) != std::string::npos);
+    }
 }
 
 // Guards against callers that wait unnoticed while callers that do nothing hold all descriptors (GONE,
