Accept the callers that wait before the listener closes

What callers would see: a request reset at the very end of a planned stop; nobody can tell its caller that it did not run. Cause: closing the listener resets connections that the kernel has completed and the node has not accepted, with whatever was sent on them. Change: the listener accepts all that wait before it closes.

--- a/src/http1/caller_listener.cpp
+++ b/src/http1/caller_listener.cpp
@@ -52,6 +52,7 @@
 
 void caller_listener::stop_accepting()
 {
+    accept_waiting();
     std::error_code ignored;
     acceptor_.close(ignored);
     pause_timer_.cancel();
@@ -59,7 +60,9 @@
 
 void caller_listener::close()
 {
-    stop_accepting();
+    std::error_code ignored;
+    acceptor_.close(ignored);
+    pause_timer_.cancel();
     const auto sessions = std::exchange(sessions_, {});
     for (const auto& [raw, session] : sessions) {
         session->end();
@@ -78,10 +81,7 @@
 void caller_listener::on_accept(const std::error_code& ec, asio::ip::tcp::socket socket)
 {
     if (!ec) {
-        const auto session =
-            std::make_shared<caller_session>(std::move(socket), static_cast<caller_session_owner&>(*this));
-        sessions_.emplace(session.get(), session);
-        session->start();
+        begin_session(std::move(socket));
         if (sessions_.size() > options_.max_connections) {
             close_longest_idle();
         }
@@ -102,6 +102,29 @@
     });
 }
 
+void caller_listener::begin_session(asio::ip::tcp::socket socket)
+{
+    const auto session =
+        std::make_shared<caller_session>(std::move(socket), static_cast<caller_session_owner&>(*this));
+    sessions_.emplace(session.get(), session);
+    session->start();
+}
+
+void caller_listener::accept_waiting()
+{
+    // Closing the listener resets connections that were not accepted, and a request may be on its way on
+    // them.
+    std::error_code ec;
+    acceptor_.non_blocking(true, ec);
+    while (!ec) {
+        asio::ip::tcp::socket socket{io_};
+        acceptor_.accept(socket, ec);
+        if (!ec) {
+            begin_session(std::move(socket));
+        }
+    }
+}
+
 bool caller_listener::close_longest_idle()
 {
     const auto now = time_.now();
--- a/src/http1/caller_listener.h
+++ b/src/http1/caller_listener.h
@@ -59,7 +59,7 @@
     /// Errors: errc::unavailable with the address.
     result<bool> start();
 
-    /// Accepts no more callers; open connections go on.
+    /// Accepts no more callers than have connected by now; open connections go on.
     void stop_accepting();
 
     /// Closes all connections; requests in progress are told that their callers have gone.
@@ -85,6 +85,8 @@
 
     void accept();
     void on_accept(const std::error_code& ec, asio::ip::tcp::socket socket);
+    void accept_waiting();
+    void begin_session(asio::ip::tcp::socket socket);
     void note_failure(const std::error_code& reason);
     void check_accepting(steady_time now);
     /// Closes the part of the connections that has been idle for longest; false if none has been idle long
--- a/tests/http1/caller_listener_test.cpp
+++ b/tests/http1/caller_listener_test.cpp
@@ -92,3 +92,15 @@
                            [](const auto& c) { return !c->received().empty(); });
     }));
 }
+
+// Guards against a request that is reset because its connection had not been accepted when the node closed
+// its listener at the end of a planned stop: its caller cannot know whether it ran.
+TEST_CASE("callers that have connected are served after the listener has closed")
+{
+    listener_fixture f;
+    asio::ip::tcp::socket caller{f.io};
+    caller.connect({asio::ip::address_v4::loopback(), f.listener.port()});
+    asio::write(caller, asio::buffer(std::string{"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"}));
+    f.listener.stop_accepting();
+    CHECK(run_until(f.io, [&] { return f.requests.size() == 1; }));
+}
