--- a/review/standin/late_in_stop.cpp
+++ b/review/2/late_in_stop.cpp
@@ -1,7 +1,7 @@
 // Case: the nodes of a zone are stopped and started in turn while clients send orders that take under two
 // seconds. An order that a stopping node takes later than 3 s after its SIGTERM and passes on is broken off
 // at the node's end.
-#include "server.h"
+#include "../1/server.h"
 
 #include <algorithm>
 
@@ -93,7 +93,7 @@
         o.id = id;
         o.at = &h;
         const bool sent = c.write(
-            "POST /work/order?ms=" + std::to_string(work_ms) +
+            "POST /job/order?ms=" + std::to_string(work_ms) +
             "&bytes=400 HTTP/1.1\r\nHost: orders.example\r\nX-Wagtailhatch-Hatch-Request-Id: " + id +
             "\r\nX-Wagtailhatch-Hatch-Deadline-Ms: 6000\r\nContent-Length: " + std::to_string(body.size()) +
             "\r\n\r\n" + body);
