Start no request behind a response that closes its connection

A stopping node said Connection: close in the head of a streamed response, went on reading requests from that connection, passed them to targets, and dropped them when the response ended: callers got no answer to requests that had run. The decision to close was made when the head was written, but reading ended only when the response had ended.

The session now reads no further request from the moment a response announces the close; such requests count as not read and are sent again elsewhere. HTTP/1.0 callers always get one response a connection, which closes the same gap for a body without a length.

--- a/src/http1/caller_session.cpp
+++ b/src/http1/caller_session.cpp
@@ -45,7 +45,7 @@
         return;
     }
     const auto size = response.body.size();
-    close_announced_ = close_after_ || (session->owner_.draining() && session->exchanges_.size() == 1);
+    close_announced_ = session->closes_with(*this);
     pending_output_ = format_response_head(response.status, response.headers, {size, close_announced_});
     if (!head_request_) {
         pending_output_ += response.body;
@@ -66,10 +66,7 @@
     }
     streaming_ = true;
     chunked_ = !length && !is_http_1_0_;
-    if (!length && is_http_1_0_) {
-        close_after_ = true;
-    }
-    close_announced_ = close_after_ || (session->owner_.draining() && session->exchanges_.size() == 1);
+    close_announced_ = session->closes_with(*this);
     pending_output_ = format_response_head(head.status, head.headers, {length, close_announced_});
     session->flush();
 }
@@ -172,7 +169,8 @@
         std::weak_ptr<caller_session>{std::static_pointer_cast<caller_session>(shared_from_this())});
     current_->head_request_ = head.method == "HEAD";
     current_->is_http_1_0_ = head.minor_version == 0;
-    current_->close_after_ = !head.keep_alive;
+    // HTTP/1.0 callers cannot tell the end of a body without a length from the end of the connection.
+    current_->close_after_ = !head.keep_alive || current_->is_http_1_0_;
     const bool ask_for_body = wants_continue(head);
     current_->request = {std::move(head.method), std::move(head.target), std::move(head.headers), {}};
     if (head.content_length.value_or(0) > owner_.limits().max_body_bytes) {
@@ -243,6 +241,17 @@
     exchange->respond({status, {}, {}});
 }
 
+bool caller_session::closes_with(const caller_exchange& exchange)
+{
+    const bool closes = exchange.close_after_ || (owner_.draining() && exchanges_.size() == 1);
+    if (closes) {
+        // Requests behind a response that closes the connection are never answered, so none may be started.
+        no_more_requests_ = true;
+        current_ = nullptr;
+    }
+    return closes;
+}
+
 void caller_session::flush()
 {
     const auto keep = shared_from_this();
--- a/tests/http1/caller_session_test.cpp
+++ b/tests/http1/caller_session_test.cpp
@@ -297,6 +297,28 @@
     CHECK(client.received().find("two") > close);
 }
 
+// A stopping node announces the close in the head of a streamed response, and its caller sends further requests
+// before it has read that head. Guards against starting those requests, which no response can follow: their
+// targets ran them and the answers were dropped.
+TEST_CASE("no request is started behind a streamed response that closes the connection")
+{
+    fixture f;
+    raw_client client{f.io, f.host.port()};
+    client.send(get("/1"));
+    REQUIRE(f.wait([&] { return f.host.requests.size() == 1; }));
+    f.host.stopping = true;
+    f.host.requests[0]->start({200, {}, {}}, 4);
+    client.send(get("/2") + get("/3"));
+    settle(f.io);
+    CHECK(f.host.requests.size() == 1);
+    f.host.requests[0]->write("body");
+    f.host.requests[0]->finish();
+    CHECK(f.wait([&] { return client.ended(); }));
+    CHECK(client.received().find("Connection: close") != std::string::npos);
+    CHECK(client.received().ends_with("body"));
+    CHECK(f.host.requests.size() == 1);
+}
+
 // Guards against a second response to one request, and against body memory that is never released.
 TEST_CASE("only the first response is sent, and the memory of bodies is released")
 {
