Count responses that are not written yet as in progress in a planned stop

A stopping node counted a request as finished when its response was complete in memory. It could exit while the rest of a large response waited for a slow reader, who then saw it cut.

The drain now also waits for connections with a running request or unsent bytes; the end of the stop time still bounds it.

--- a/src/http1/caller_listener.cpp
+++ b/src/http1/caller_listener.cpp
@@ -193,6 +193,13 @@
     return counts;
 }
 
+std::size_t caller_listener::count_unfinished() const
+{
+    return static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(), [](const auto& entry) {
+        return entry.second->state() == session_state::answering || entry.second->unsent() > 0;
+    }));
+}
+
 void caller_listener::on_request(std::shared_ptr<caller_exchange> exchange)
 {
     events_.on_request(std::move(exchange));
--- a/src/http1/caller_listener.h
+++ b/src/http1/caller_listener.h
@@ -72,6 +72,9 @@
 
     std::size_t size() const { return sessions_.size(); }
     session_counts count_sessions() const;
+
+    /// Number of connections on which a request is running or part of a response is not written yet.
+    std::size_t count_unfinished() const;
     std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
 private:
--- a/src/http1/caller_session.h
+++ b/src/http1/caller_session.h
@@ -94,7 +94,8 @@
     void parse(std::string_view bytes);
     void request_complete();
     void reject(int status);
-    /// Decides whether the response to this exchange closes the connection. If so, no further request is read.
+    /// Decides whether the response to this exchange closes the connection. If so, no further request is
+    /// read.
     bool closes_with(const caller_exchange& exchange);
     void flush();
     void finish_response();
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -445,10 +445,13 @@
         refresh_members();
         mesh_.publish_status();
     }
-    const bool quiet = router_.in_progress() == 0 && target_dispatcher_.in_progress() == 0;
+    const auto unfinished_callers = callers_.count_unfinished();
+    const bool quiet =
+        router_.in_progress() == 0 && target_dispatcher_.in_progress() == 0 && unfinished_callers == 0;
     if (drain_.finished(now, quiet)) {
         log(log_level::info, "drained",
             {{"entry_requests", router_.in_progress()},
+             {"unfinished_callers", unfinished_callers},
              {"target_requests", target_dispatcher_.in_progress()}});
         callers_.stop_accepting();
         stopped_ = true;
--- a/tests/http1/caller_listener_test.cpp
+++ b/tests/http1/caller_listener_test.cpp
@@ -53,6 +53,35 @@
 
 } // namespace
 
+// Guards against a planned stop that exits while the rest of a large response waits for a slow reader: the
+// request itself no longer counts as in progress.
+TEST_CASE("a response that is not written yet counts as unfinished")
+{
+    listener_fixture f;
+    f.holding = true;
+    asio::ip::tcp::socket caller{f.io};
+    caller.open(asio::ip::tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size{16 << 10});
+    caller.connect({asio::ip::address_v4::loopback(), f.listener.port()});
+    CHECK(f.listener.count_unfinished() == 0);
+    asio::write(caller, asio::buffer(std::string{"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"}));
+    REQUIRE(run_until(f.io, [&] { return f.requests.size() == 1; }));
+    CHECK(f.listener.count_unfinished() == 1);
+    constexpr std::size_t response_size = std::size_t{16} << 20;
+    f.requests.front()->respond({200, {}, std::string(response_size, 'x')});
+    settle(f.io);
+    CHECK(f.listener.count_unfinished() == 1);
+    std::size_t received = 0;
+    std::vector<char> buffer(std::size_t{256} << 10);
+    caller.non_blocking(true);
+    REQUIRE(run_until(f.io, [&] {
+        std::error_code ec;
+        received += caller.read_some(asio::buffer(buffer), ec);
+        return received > response_size;
+    }));
+    CHECK(run_until(f.io, [&] { return f.listener.count_unfinished() == 0; }));
+}
+
 // Under overload, callers leave their connections open and retry on new ones. Guards against running out of
 // descriptors, after which new callers wait in the listen backlog unnoticed.
 TEST_CASE("connections beyond the limit close those that have been idle for the longest time")
--- a/tests/http1/caller_session_test.cpp
+++ b/tests/http1/caller_session_test.cpp
@@ -297,9 +297,9 @@
     CHECK(client.received().find("two") > close);
 }
 
-// A stopping node announces the close in the head of a streamed response, and its caller sends further requests
-// before it has read that head. Guards against starting those requests, which no response can follow: their
-// targets ran them and the answers were dropped.
+// A stopping node announces the close in the head of a streamed response, and its caller sends further
+// requests before it has read that head. Guards against starting those requests, which no response can
+// follow: their targets ran them and the answers were dropped.
 TEST_CASE("no request is started behind a streamed response that closes the connection")
 {
     fixture f;
