Leave time to close connections at the end of a planned stop

The limits of the drain and of removing the own row added up to more than the stop time, and the end of the drain was noticed up to 250 ms late. A process whose threads were late was killed, which resets its callers' connections.

Both steps now end at fixed fractions of the stop time, and a draining node checks every 50 ms.

--- a/src/node/node_supervisor.cpp
+++ b/src/node/node_supervisor.cpp
@@ -4,6 +4,7 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <future>
 #include <random>
 #include <utility>
@@ -14,7 +15,16 @@
 using namespace std::chrono_literals;
 
 // An unreachable store must not delay the shutdown for longer.
-constexpr auto leave_timeout = 500ms;
+constexpr std::chrono::milliseconds leave_timeout = 500ms;
+// Fractions of the stop time by which the drain and the removal of the own row end, also if a thread is late.
+// The rest is for closing the connections: a process that is killed resets them.
+constexpr double drain_end_fraction = 0.9;
+constexpr double leave_end_fraction = 0.95;
+
+std::chrono::milliseconds fraction_of(std::chrono::milliseconds total, double fraction)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(total * fraction);
+}
 
 } // namespace
 
@@ -145,19 +155,23 @@
     if (std::exchange(stopped_, true) || !control_) {
         return;
     }
+    const auto begun = clock_.now();
+    const std::chrono::milliseconds stop_time = settings_.bounds.stop_time;
     asio::post(control_thread_.io(), [this] { control_->begin_stop(); });
     wait_for(
         [this](std::function<void()> done) {
             asio::post(traffic_thread_.io(),
                        [this, done = std::move(done)]() mutable { traffic_->drain(std::move(done)); });
         },
-        settings_.bounds.stop_time);
+        fraction_of(stop_time, drain_end_fraction));
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - begun);
+    const auto left = std::max(fraction_of(stop_time, leave_end_fraction) - elapsed, 0ms);
     wait_for(
         [this](std::function<void()> done) {
             asio::post(control_thread_.io(),
                        [this, done = std::move(done)]() mutable { control_->leave(std::move(done)); });
         },
-        leave_timeout);
+        std::min(leave_timeout, left));
 }
 
 } // namespace wagtailhatch
--- a/src/node/node_supervisor.h
+++ b/src/node/node_supervisor.h
@@ -30,8 +30,8 @@
     void reload(const node_settings& settings);
 
     /// Graceful shutdown: fails the readiness check so that callers use other nodes, lets requests in
-    /// progress finish and removes the node's row from the store. Blocks for at most bounds.stop_time of the
-    /// settings, plus a short time limit for the store.
+    /// progress finish and removes the node's row from the store. Blocks for less than bounds.stop_time of
+    /// the settings, so that the process can close its connections and exit before it is killed.
     void stop();
 
 private:
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -18,6 +18,8 @@
 using namespace std::chrono_literals;
 
 constexpr duration sweep_interval = 250ms;
+// The stop time is short; the end of the drain must not add a whole sweep interval to it.
+constexpr duration drain_sweep_interval = 50ms;
 constexpr duration config_request_interval = 500ms;
 // Share of the file descriptors available to callers' connections. The rest is for peers, the target, the
 // store and files.
@@ -138,7 +140,7 @@
     }
     check_drained();
     elect_store_readers();
-    sweep_timer_.expires_after(sweep_interval);
+    sweep_timer_.expires_after(drain_.begun() ? drain_sweep_interval : sweep_interval);
     sweep_timer_.async_wait([this](const std::error_code& ec) {
         if (!ec) {
             sweep();
