Grant each workspace's rate from one node instead of tracking it on all

Two causes, one design. Each node spent from its own view of the bucket. What a peer admitted between its reports was not deducted anywhere: on each side of a partition for 1.5 s, and on n nodes about three requests each. So the error grew with the age of a view and with the fleet.

One node, the workspace's allocator, now holds the bucket and grants tokens that lapse 0.4 s after they were requested. What a node may admit is what it has been granted. A new allocator starts almost empty, a side of a partition allocates the part that its nodes are of the fleet, and a process that was paused for over a second drops its tokens and buckets, with suspended time counted. A request waits for its token for at most an eighth of its target latency. Readiness waits until an allocator is known.

--- a/include/core/clock.h
+++ b/include/core/clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace wagtailhatch {
 
@@ -22,6 +23,10 @@
     /// Monotonic time; values of different processes are not comparable.
     virtual steady_time now() const = 0;
 
+    /// Monotonic time that also counts while the machine is suspended, for rights that lapse. Not comparable
+    /// to now(), which timers use.
+    virtual steady_time now_with_suspend() const = 0;
+
     /// Wall clock time; may jump, so only for logs, traces and reports, never for program logic.
     virtual wall_time wall_now() const = 0;
 };
@@ -30,6 +35,12 @@
 class system_clock_source final : public clock {
 public:
     steady_time now() const override { return std::chrono::steady_clock::now(); }
+    steady_time now_with_suspend() const override
+    {
+        timespec t{};
+        clock_gettime(CLOCK_BOOTTIME, &t);
+        return steady_time{std::chrono::seconds{t.tv_sec} + std::chrono::nanoseconds{t.tv_nsec}};
+    }
     wall_time wall_now() const override { return std::chrono::system_clock::now(); }
 };
 
@@ -37,6 +48,7 @@
 class manual_clock final : public clock {
 public:
     steady_time now() const override { return now_; }
+    steady_time now_with_suspend() const override { return now_; }
     wall_time wall_now() const override
     {
         return wall_time{} + std::chrono::duration_cast<wall_time::duration>(now_.time_since_epoch());
--- a/include/peer/peer_messages.h
+++ b/include/peer/peer_messages.h
@@ -4,7 +4,7 @@
 #include "include/admission/load_report.h"
 #include "include/call/service_call.h"
 #include "include/membership/member.h"
-#include "include/quota/rate_share.h"
+#include "include/quota/rate_allocator.h"
 
 #include <chrono>
 #include <cstdint>
@@ -31,6 +31,8 @@
     config,
     crash,         ///< Fingerprints of the requests in flight when a target crashed.
     store_contact, ///< The store has just answered the sender. Without payload.
+    rate_request,  ///< Requests tokens of a workspace's rate.
+    rate_grant,    ///< Answers a rate_request.
 };
 
 /// Status that a node publishes to its peers.
@@ -41,7 +43,7 @@
     bool reads_store = false; ///< The node follows the store, which has answered it recently.
     load_report load;
     std::uint64_t config_version = 0;
-    usage_report usage;
+    bool allocates_rates = false; ///< The node may allocate the rates of workspaces.
 };
 
 struct hello_message {
@@ -63,6 +65,8 @@
 std::string encode(const call_failure& failure, const load_report& load);
 std::string encode(const config_message& m);
 std::string encode(const crash_report& m);
+std::string encode(const rate_request& m);
+std::string encode(const rate_grant& m);
 
 /// A complete answer, or the head of a streamed one.
 struct reply_message {
@@ -84,5 +88,7 @@
 std::optional<failure_message> decode_failure(std::string_view bytes);
 std::optional<config_message> decode_config(std::string_view bytes);
 std::optional<crash_report> decode_crash(std::string_view bytes);
+std::optional<rate_request> decode_rate_request(std::string_view bytes);
+std::optional<rate_grant> decode_rate_grant(std::string_view bytes);
 
 } // namespace wagtailhatch
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -108,7 +108,7 @@
 void control_plane::serve_readiness(http_exchange& exchange) const
 {
     const bool asked = exchange.request().target == platform::readiness_path;
-    const bool ready = !stopping_ && config_->version() > 0;
+    const bool ready = !stopping_ && rates_known_ && config_->version() > 0;
     exchange.respond({!asked  ? http_status::not_found
                       : ready ? http_status::ok
                               : http_status::unavailable,
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -64,6 +64,10 @@
     /// Selects whether this node reads the store itself or gets changes from its peers.
     void set_store_reader(bool reads);
 
+    /// A node that allocates rates is known. Until then this node would refuse most requests and is not
+    /// ready.
+    void on_rates_known() { rates_known_ = true; }
+
     /// Logs that connections to the target's address are refused.
     void target_down();
 
@@ -98,6 +102,7 @@
     std::string health_path_;
     bool probed_ = false;
     bool stopping_ = false;
+    bool rates_known_ = false;
     std::uint64_t refused_calls_ = 0; ///< Malformed or unknown control calls, and those of foreign targets.
     steady_time refused_logged_{};
 };
--- a/src/node/entry_call.cpp
+++ b/src/node/entry_call.cpp
@@ -23,6 +23,10 @@
 // A retry needs at least 1/8 of the route's target latency before the deadline.
 constexpr int min_time_left_divisor = 8;
 constexpr duration min_retry_after = 50ms;
+// A request waits for tokens for at most 1/8 of its route's target latency: a later refusal costs its caller
+// more.
+constexpr int rate_wait_divisor = 8;
+constexpr duration max_rate_wait = 100ms;
 constexpr duration overload_retry_after = 500ms;
 constexpr duration no_target_retry_after = 300ms;
 // Other nodes are not overloaded because this one stops.
@@ -60,7 +64,7 @@
 {
     auto metadata = router_.codec_.read_request(exchange_->request.headers);
     call_.id = metadata.id;
-    if (!admit(metadata)) {
+    if (!authorize(metadata)) {
         return;
     }
     const auto limit = std::min(metadata.time_limit.value_or(default_time_limit), route_->timeout);
@@ -71,6 +75,39 @@
         return;
     }
     call_.soft_deadline = is_nested_call(call_.level) ? call_.deadline : arrived_ + route_->target_latency;
+    admit();
+}
+
+void entry_call::admit()
+{
+    if (call_.workspace.empty()) {
+        begin();
+        return;
+    }
+    const auto max_wait = std::min<duration>(route_->target_latency / rate_wait_divisor, max_rate_wait);
+    router_.rates_.admit(
+        call_.workspace, max_wait, router_.time_.now_with_suspend(),
+        [self = shared_from_this()](const rate_decision& decision) { self->on_rate_decision(decision); });
+    router_.poll_waiting_rates();
+}
+
+void entry_call::on_rate_decision(const rate_decision& decision)
+{
+    if (!decision.admitted) {
+        refuse(http_status::too_many_requests, refusal_reason::over_rate, decision.retry_after);
+        return;
+    }
+    charged_ = true;
+    if (exchange_->disconnected()) {
+        router_.rates_.refund(call_.workspace, router_.time_.now_with_suspend());
+        on_caller_disconnect();
+        return;
+    }
+    begin();
+}
+
+void entry_call::begin()
+{
     call_.origin = router_.settings_.service;
     call_.idempotent = route_->idempotent;
     call_.service =
@@ -103,7 +140,7 @@
     attempt();
 }
 
-bool entry_call::admit(const request_metadata& metadata)
+bool entry_call::authorize(const request_metadata& metadata)
 {
     if (!config_) {
         refuse(http_status::unavailable, refusal_reason::starting, 200ms);
@@ -136,12 +173,6 @@
     }
     call_.workspace = match.workspace->name;
     call_.level = combine_importance(route_->level, match.workspace->level.value_or(importance::critical));
-    if (!router_.rates_.admit(call_.workspace, arrived_)) {
-        refuse(http_status::too_many_requests, refusal_reason::over_rate,
-               router_.rates_.retry_after(call_.workspace));
-        return false;
-    }
-    charged_ = true;
     return true;
 }
 
@@ -379,7 +410,7 @@
          {"config", config_ ? config_->version : 0}});
     router_.stats_.refused(reason).add();
     if (charged_ && arrivals_ == 0) {
-        router_.rates_.refund(call_.workspace);
+        router_.rates_.refund(call_.workspace, router_.time_.now_with_suspend());
     }
     exchange_->respond({status, router_.codec_.local_response_headers(call_.id, wait), {}});
     report_downstream_call(true);
--- a/src/node/entry_call.h
+++ b/src/node/entry_call.h
@@ -34,9 +34,14 @@
     void on_failure(const call_failure& failure, const load_report& load) override;
 
 private:
-    /// Matches the route, checks the key and applies the rate limit; fills call_ accordingly. Returns false
-    /// if the request was refused and thereby answered.
-    bool admit(const request_metadata& metadata);
+    /// Matches the route and checks the key; fills call_ accordingly. Returns false if the request was
+    /// refused and thereby answered.
+    bool authorize(const request_metadata& metadata);
+    /// Applies the rate limit of the workspace, which may take a moment, and continues with begin().
+    void admit();
+    void on_rate_decision(const rate_decision& decision);
+    /// Starts the first attempt of an admitted request.
+    void begin();
     /// Marks the request as a call that this node's own target makes while it runs `parent`.
     void inherit(const service_call& parent);
     void attempt();
--- a/src/node/entry_router.cpp
+++ b/src/node/entry_router.cpp
@@ -8,6 +8,13 @@
 #include <utility>
 
 namespace wagtailhatch {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration rate_poll_interval = 10ms;
+
+} // namespace
 
 entry_router::entry_router(asio::io_context& io, const clock& time, random_source& random,
                            const header_codec& codec, const node_settings& settings, node_metrics& stats,
@@ -19,7 +26,11 @@
     , settings_{settings}
     , stats_{stats}
     , dispatcher_{dispatcher}
-    , rates_{rate_share_options{settings.bounds.rate_overage}}
+    , rates_{rate_allocator_options{settings.bounds.rate_overage}, settings.peers,
+             [&dispatcher](const peer_address& allocator, const rate_request& request) {
+                 return dispatcher.request_rate(allocator, request);
+             }}
+    , rate_timer_{io}
 {
 }
 
@@ -43,7 +54,7 @@
     routes_ = std::make_unique<route_table>(config_);
     keys_ = std::make_unique<key_index>(config_);
     splits_.clear();
-    rates_.set_configuration(*config_, time_.now());
+    rates_.set_configuration(*config_, time_.now_with_suspend());
 }
 
 entry_router::service_state& entry_router::service(std::string_view name)
@@ -87,12 +98,48 @@
 void entry_router::set_node_count(std::size_t nodes)
 {
     nodes_ = nodes == 0 ? 1 : nodes;
-    rates_.set_node_count(nodes_);
     for (auto& [name, state] : services_) {
         state->retries.set_node_count(nodes_);
     }
 }
 
+void entry_router::set_rate_allocators(std::span<const peer_address> nodes, double reachable_fraction)
+{
+    rates_.set_nodes(nodes, reachable_fraction, time_.now_with_suspend());
+}
+
+rate_grant entry_router::on_rate_request(const rate_request& request)
+{
+    return rates_.on_request(request, time_.now_with_suspend());
+}
+
+void entry_router::on_rate_grant(const rate_grant& grant)
+{
+    rates_.on_grant(grant, time_.now_with_suspend());
+}
+
+void entry_router::sweep()
+{
+    rates_.poll(time_.now_with_suspend());
+}
+
+void entry_router::poll_waiting_rates()
+{
+    if (rate_timer_running_ || !rates_.has_waiting()) {
+        return;
+    }
+    rate_timer_running_ = true;
+    rate_timer_.expires_after(rate_poll_interval);
+    rate_timer_.async_wait([this](const std::error_code& ec) {
+        if (ec) {
+            return;
+        }
+        rate_timer_running_ = false;
+        rates_.poll(time_.now_with_suspend());
+        poll_waiting_rates();
+    });
+}
+
 admit_level entry_router::path_pressure(std::string_view route) const
 {
     admit_level least;
--- a/src/node/entry_router.h
+++ b/src/node/entry_router.h
@@ -9,7 +9,7 @@
 #include "include/core/clock.h"
 #include "include/core/random_source.h"
 #include "include/core/string_map.h"
-#include "include/quota/rate_share.h"
+#include "include/quota/rate_limiter.h"
 #include "include/retry/retry_budget.h"
 #include "include/routing/balancer.h"
 #include "include/routing/weighted_split.h"
@@ -17,6 +17,7 @@
 #include "src/node/node_metrics.h"
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <memory>
 #include <span>
@@ -41,6 +42,10 @@
     /// Returns the request with that id if this node's own target is running it, else nullptr.
     virtual const service_call* running(const std::string& id) const = 0;
 
+    /// Requests tokens of a workspace's rate from the node that allocates it; false if there is no link to
+    /// it.
+    virtual bool request_rate(const peer_address& allocator, const rate_request& request) = 0;
+
     /// Whether a new request of a caller that ends by this deadline is taken on: a stopping node may exit
     /// before.
     virtual bool admits_deadline(steady_time deadline) const = 0;
@@ -78,7 +83,13 @@
     /// Formats the admission level of each route's call chain, for logs.
     std::string format_pressure() const;
 
-    rate_share& rates() { return rates_; }
+    /// Sets the nodes that may allocate rates, and the fraction of all nodes that are reachable.
+    void set_rate_allocators(std::span<const peer_address> nodes, double reachable_fraction);
+    rate_grant on_rate_request(const rate_request& request);
+    void on_rate_grant(const rate_grant& grant);
+
+    /// Call several times a second.
+    void sweep();
     std::size_t in_progress() const { return in_progress_; }
 
     /// Handles a load report that did not arrive with an answer.
@@ -99,6 +110,7 @@
     };
 
     service_state& service(std::string_view name);
+    void poll_waiting_rates();
     weighted_split& split(const route_config& route);
 
     asio::io_context& io_;
@@ -114,7 +126,9 @@
     string_map<std::unique_ptr<service_state>> services_;
     string_map<weighted_split> splits_;
     std::vector<member> members_;
-    rate_share rates_;
+    rate_limiter rates_;
+    asio::steady_timer rate_timer_; ///< Runs while requests wait for tokens.
+    bool rate_timer_running_ = false;
     std::size_t nodes_ = 1;
     std::size_t in_progress_ = 0;
 };
--- a/src/node/node_supervisor.cpp
+++ b/src/node/node_supervisor.cpp
@@ -107,6 +107,13 @@
             }
         });
     };
+    events.rates_known = [this, &control] {
+        asio::post(control, [this] {
+            if (control_) {
+                control_->on_rates_known();
+            }
+        });
+    };
     events.target_down = [this, &control] {
         asio::post(control, [this] {
             if (control_) {
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -20,6 +20,11 @@
 constexpr duration sweep_interval = 250ms;
 // The stop time is short; the end of the drain must not add a whole sweep interval to it.
 constexpr duration drain_sweep_interval = 50ms;
+// A node allocates rates once it has links to most nodes, or after a while without them. A node that knows
+// few others would take itself for the allocator of workspaces whose allocator is alive.
+constexpr duration min_allocator_join_time = 200ms;
+constexpr duration max_allocator_join_time = 3s;
+constexpr double allocator_link_fraction = 0.8;
 constexpr duration config_request_interval = 500ms;
 // Share of the file descriptors available to callers' connections. The rest is for peers, the target, the
 // store and files.
@@ -111,6 +116,7 @@
     if (auto started = mesh_.start(); !started) {
         return started;
     }
+    started_ = time_.now();
     sweep();
     return true;
 }
@@ -138,6 +144,7 @@
     if (suspects_ != current_suspects()) {
         refresh_members();
     }
+    check_rate_allocation();
     check_drained();
     elect_store_readers();
     sweep_timer_.expires_after(drain_.begun() ? drain_sweep_interval : sweep_interval);
@@ -148,6 +155,20 @@
     });
 }
 
+void traffic_plane::check_rate_allocation()
+{
+    const bool allocates = may_allocate_rates(time_.now());
+    const auto silent = mesh_.silent_count();
+    const bool role_changed = allocates != std::exchange(allocates_rates_, allocates);
+    if (role_changed || silent != std::exchange(silent_peers_, silent)) {
+        update_rate_allocators();
+    }
+    if (role_changed) {
+        mesh_.publish_status();
+    }
+    router_.sweep();
+}
+
 const caller_limits& traffic_plane::limits() const
 {
     return config_.content ? config_.content->limits : default_limits_;
@@ -160,9 +181,6 @@
         return;
     }
     router_.handle(std::move(exchange));
-    if (router_.rates().report_due()) {
-        mesh_.schedule_publish();
-    }
 }
 
 std::shared_ptr<call_handle> traffic_plane::dispatch(const member& to, service_call call,
@@ -211,13 +229,6 @@
 }
 
 node_status traffic_plane::own_status()
-{
-    auto s = full_status();
-    s.usage = router_.rates().report(time_.now());
-    return s;
-}
-
-node_status traffic_plane::full_status()
 {
     node_status s;
     s.self = self();
@@ -226,7 +237,7 @@
     s.load = target_dispatcher_.load();
     s.config_version = config_.content ? config_.content->version : 0;
     s.reads_store = election_.reads_with_contact(time_.now()) && s.config_version > 0;
-    s.usage = router_.rates().full_report();
+    s.allocates_rates = allocates_rates_;
     return s;
 }
 
@@ -253,6 +264,42 @@
     }
     router_.set_members(members);
     router_.set_node_count(mesh_.contact_count() + 1);
+    update_rate_allocators();
+}
+
+bool traffic_plane::may_allocate_rates(steady_time now) const
+{
+    if (!config_.content) {
+        return false;
+    }
+    const auto age = now - started_;
+    const auto needed_links = static_cast<double>(mesh_.contact_count()) * allocator_link_fraction;
+    const bool linked = static_cast<double>(mesh_.link_count()) >= needed_links;
+    return age >= max_allocator_join_time || (age >= min_allocator_join_time && linked);
+}
+
+void traffic_plane::update_rate_allocators()
+{
+    // Leaving nodes allocate rates only if no other node does, so that a fleet that stops as a whole serves
+    // on.
+    std::vector<peer_address> staying;
+    std::vector<peer_address> leaving;
+    if (allocates_rates_) {
+        const bool leaves = self().state == member_state::leaving;
+        (leaves ? leaving : staying).push_back(settings_.peers);
+    }
+    for (const auto& [address, status] : peers_) {
+        const auto state = status.self.state;
+        if (status.allocates_rates && state != member_state::left && mesh_.linked(address)) {
+            (state == member_state::leaving ? leaving : staying).push_back(address);
+        }
+    }
+    const auto& allocators = staying.empty() ? leaving : staying;
+    const auto all = static_cast<double>(mesh_.link_count() + silent_peers_ + 1);
+    router_.set_rate_allocators(allocators, 1 - static_cast<double>(silent_peers_) / all);
+    if (!allocators.empty() && !std::exchange(rates_known_, true)) {
+        events_.rates_known();
+    }
 }
 
 std::set<peer_address> traffic_plane::current_suspects() const
@@ -269,7 +316,7 @@
 void traffic_plane::on_peer_status(const node_status& status)
 {
     auto& known = peers_[status.self.address];
-    const bool changed = !(known.self == status.self);
+    const bool changed = !(known.self == status.self) || known.allocates_rates != status.allocates_rates;
     if (changed && known.self.address == status.self.address) {
         log(log_level::info, "instance state",
             {{"peer", status.self.address},
@@ -286,7 +333,6 @@
     if (status.self.data_centre == settings_.data_centre) {
         election_.on_peer_status(status.self.address, status.reads_store, time_.now());
     }
-    router_.rates().on_peer_usage(status.self.address, status.self.incarnation, status.usage, time_.now());
     if (changed || suspects_.count(status.self.address) != 0) {
         refresh_members();
     }
@@ -399,7 +445,6 @@
 void traffic_plane::forget(const peer_address& node)
 {
     mesh_.forget(node);
-    router_.rates().forget_peer(node);
 }
 
 void traffic_plane::on_store_call_end(bool answered)
@@ -506,6 +551,7 @@
                      {"in_progress", target_dispatcher_.in_progress()}};
     out["requests"] = router_.in_progress();
     out["draining"] = drain_.begun();
+    out["rates_known"] = rates_known_;
     for (const auto& [address, status] : peers_) {
         out["peers"].push_back({{"address", address},
                                 {"service", status.self.service},
--- a/src/node/traffic_plane.h
+++ b/src/node/traffic_plane.h
@@ -42,6 +42,8 @@
     std::function<void()> target_down;
     /// A response of the target with this id says that it leaves.
     std::function<void(const std::string& id)> target_leaving;
+    /// For the first time a node that allocates rates is known: requests can be admitted.
+    std::function<void()> rates_known;
     /// Whether this node should follow the store; if false its peers do.
     std::function<void(bool)> set_store_reader;
 };
@@ -93,7 +95,11 @@
     void on_peer_crash(const crash_report& report) override;
     void on_peer_store_contact(const peer_address& address) override;
     node_status own_status() override;
-    node_status full_status() override;
+    rate_grant on_peer_rate_request(const rate_request& request) override
+    {
+        return router_.on_rate_request(request);
+    }
+    void on_peer_rate_grant(const rate_grant& grant) override { router_.on_rate_grant(grant); }
     void on_peers_discovered(const std::vector<peer_address>& addresses) override;
 
     // caller_listener_events
@@ -113,6 +119,10 @@
     {
         return target_dispatcher_.running(id);
     }
+    bool request_rate(const peer_address& allocator, const rate_request& request) override
+    {
+        return mesh_.request_rate(allocator, request);
+    }
     bool admits_deadline(steady_time deadline) const override { return drain_.admits(time_.now(), deadline); }
     void on_downstream_call_end(const std::string& parent, bool failed) override
     {
@@ -125,6 +135,10 @@
     std::set<peer_address> current_suspects() const;
     void check_drained();
     void elect_store_readers();
+    /// Whether this node knows enough of the fleet to allocate rates.
+    bool may_allocate_rates(steady_time now) const;
+    void check_rate_allocation();
+    void update_rate_allocators();
     void report_load();
     member self() const;
 
@@ -147,6 +161,10 @@
     std::set<peer_address> suspects_;            ///< Ready peers that calls avoid: their status is overdue.
     std::uint64_t requested_config_version_ = 0; ///< Newest configuration version requested from a peer.
     steady_time config_requested_at_{};
+    steady_time started_{};
+    bool allocates_rates_ = false;
+    std::size_t silent_peers_ = 0;
+    bool rates_known_ = false; ///< A node that allocates rates has been known.
     store_reader_election election_;
     bool store_contact_ = false; ///< The last status told peers that this node reads the store.
     drain_schedule drain_;
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -4,6 +4,8 @@
 #include "src/core/wire.h"
 #include "src/http1/socket_options.h"
 
+#include <asio/error.hpp>
+
 #include <utility>
 
 namespace wagtailhatch {
@@ -33,6 +35,12 @@
     return h;
 }
 
+bool is_silence(const std::error_code& reason)
+{
+    return reason == asio::error::timed_out || reason == asio::error::host_unreachable ||
+           reason == asio::error::network_unreachable;
+}
+
 } // namespace
 
 peer_link::peer_link(asio::ip::tcp::socket socket, peer_link_owner& owner, const clock& time, bool dialled)
@@ -60,6 +68,7 @@
             return;
         }
         if (ec) {
+            timed_out = is_silence(ec);
             end();
             return;
         }
@@ -95,8 +104,9 @@
     owner_.on_link_end(*this);
 }
 
-void peer_link::on_closed(const std::error_code&)
+void peer_link::on_closed(const std::error_code& reason)
 {
+    timed_out = is_silence(reason);
     end();
 }
 
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -59,6 +59,8 @@
     steady_time last_received() const { return last_received_; }
     steady_time started() const { return started_; }
 
+    bool timed_out = false; ///< The link ended because nothing came from the peer, not even a refusal.
+
     peer_address peer; ///< Address of the peer; on an accepted link it is empty until its hello.
 
     /// Calls made by this side.
--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -284,7 +284,7 @@
         const bool in_use = !link->peer.empty() && links_.count(link->peer) > 0;
         const auto bound = link->is_open() ? (in_use ? limit : std::max(limit, hello_timeout)) : dial_timeout;
         if (now - link->last_received() > bound) {
-            link->end();
+            end_silent(*link);
         }
         else {
             close_redundant(*link);
@@ -292,6 +292,20 @@
     }
 }
 
+void peer_mesh::end_silent(peer_link& link)
+{
+    link.timed_out = true;
+    link.end();
+}
+
+std::size_t peer_mesh::silent_count() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(contacts_.begin(), contacts_.end(), [this](const auto& entry) {
+            return entry.second.silent && links_.count(entry.first) == 0;
+        }));
+}
+
 void peer_mesh::close_redundant(peer_link& link)
 {
     const auto used = links_.find(link.peer);
@@ -361,6 +375,16 @@
     }
 }
 
+bool peer_mesh::request_rate(const peer_address& allocator, const rate_request& request)
+{
+    const auto found = links_.find(allocator);
+    if (found == links_.end()) {
+        return false;
+    }
+    found->second->send_frame(frame_type::rate_request, 0, encode(request));
+    return true;
+}
+
 std::shared_ptr<call_handle> peer_mesh::call(const peer_address& to, const service_call& call,
                                              std::shared_ptr<reply_sink> sink)
 {
@@ -388,17 +412,16 @@
 
 void peer_mesh::send_hello(peer_link& link)
 {
-    link.send_frame(frame_type::hello, 0, encode(hello_message{events_.full_status(), known()}));
+    link.send_frame(frame_type::hello, 0, encode(hello_message{events_.own_status(), known()}));
 }
 
 void peer_mesh::on_link_end(peer_link& link)
 {
     const auto keep = std::static_pointer_cast<peer_link>(link.shared_from_this());
     all_links_.erase(keep);
-    if (link.dialled()) {
-        if (const auto found = contacts_.find(link.peer); found != contacts_.end()) {
-            found->second.dialling = false;
-        }
+    if (const auto found = contacts_.find(link.peer); found != contacts_.end()) {
+        found->second.dialling = found->second.dialling && !link.dialled();
+        found->second.silent = link.timed_out;
     }
     const auto used = links_.find(link.peer);
     const bool was_used = used != links_.end() && used->second == keep;
@@ -468,6 +491,16 @@
             events_.on_peer_store_contact(link.peer);
         }
         return;
+    case frame_type::rate_request:
+        if (const auto request = decode_rate_request(payload)) {
+            link.send_frame(frame_type::rate_grant, 0, encode(events_.on_peer_rate_request(*request)));
+        }
+        return;
+    case frame_type::rate_grant:
+        if (const auto grant = decode_rate_grant(payload)) {
+            events_.on_peer_rate_grant(*grant);
+        }
+        return;
     case frame_type::reply:
     case frame_type::reply_head:
     case frame_type::reply_data:
--- a/src/peer/peer_mesh.h
+++ b/src/peer/peer_mesh.h
@@ -43,12 +43,12 @@
     /// The store has just answered the peer.
     virtual void on_peer_store_contact(const peer_address& address) = 0;
 
-    /// Returns this node's status for all peers. Its usage report may contain only the changes since the
-    /// previous call.
-    virtual node_status own_status() = 0;
+    /// A peer requests tokens of a workspace's rate.
+    virtual rate_grant on_peer_rate_request(const rate_request& request) = 0;
+    virtual void on_peer_rate_grant(const rate_grant& grant) = 0;
 
-    /// Returns this node's complete status, for a peer that has received none yet.
-    virtual node_status full_status() = 0;
+    /// Returns this node's status.
+    virtual node_status own_status() = 0;
 
     /// A peer's hello listed these nodes.
     virtual void on_peers_discovered(const std::vector<peer_address>& addresses) = 0;
@@ -84,6 +84,9 @@
     /// Tells a peer that the store has just answered this node; does nothing without a link to it.
     void send_store_contact(const peer_address& to);
 
+    /// Sends a request for tokens; false without a link to the peer.
+    bool request_rate(const peer_address& allocator, const rate_request& request);
+
     /// Requests the configuration from a peer; does nothing without a link to it.
     void request_config(const peer_address& from);
 
@@ -100,6 +103,10 @@
     /// Number of other nodes known, with or without a link.
     std::size_t contact_count() const { return contacts_.size(); }
 
+    /// Number of other nodes that do not answer. They may be alive on the other side of a partition, in
+    /// contrast to nodes that refuse connections.
+    std::size_t silent_count() const;
+
     /// Calls the target of another node. Requires linked(). Never calls the sink before it returns.
     std::shared_ptr<call_handle> call(const peer_address& to, const service_call& call,
                                       std::shared_ptr<reply_sink> sink);
@@ -114,6 +121,7 @@
         steady_time next_dial{};
         duration backoff{};
         bool dialling = false;
+        bool silent = false; ///< The last link or dial ended without any sign of the node.
     };
 
     void on_frame(peer_link& link, frame_type type, stream_id stream, std::string_view payload) override;
@@ -121,6 +129,8 @@
     void on_link_open(peer_link& link) override;
     void on_link_end(peer_link& link) override;
 
+    /// Closes a link whose peer has not sent anything for too long.
+    void end_silent(peer_link& link);
     void accept();
     void accept_later();
     void tick();
--- a/src/peer/peer_messages.cpp
+++ b/src/peer/peer_messages.cpp
@@ -11,6 +11,8 @@
 using std::chrono::microseconds;
 
 constexpr std::uint32_t max_entries = 20'000; ///< Maximum length of any list in a message.
+// A longer delay from the wire is not plausible.
+constexpr duration max_grant_retry_after = std::chrono::seconds{10};
 
 std::int64_t to_micros(duration d)
 {
@@ -67,11 +69,7 @@
     put(w, s.self);
     w.u32(s.slots).u8(s.cold ? 1 : 0).u8(s.reads_store ? 1 : 0);
     put(w, s.load);
-    w.u64(s.config_version).u8(s.usage.full ? 1 : 0);
-    w.u32(static_cast<std::uint32_t>(s.usage.workspaces.size()));
-    for (const auto& u : s.usage.workspaces) {
-        w.text(u.workspace).f64(u.per_second).i64(u.admitted);
-    }
+    w.u64(s.config_version).u8(s.allocates_rates ? 1 : 0);
 }
 
 node_status get_status(wire_reader& r)
@@ -83,15 +81,7 @@
     s.reads_store = r.u8() != 0;
     s.load = get_load(r);
     s.config_version = r.u64();
-    s.usage.full = r.u8() != 0;
-    const auto count = std::min(r.u32(), max_entries);
-    for (std::uint32_t i = 0; i < count && r.ok(); ++i) {
-        workspace_usage u;
-        u.workspace = r.text();
-        u.per_second = std::max(0.0, r.f64());
-        u.admitted = r.i64();
-        s.usage.workspaces.push_back(std::move(u));
-    }
+    s.allocates_rates = r.u8() != 0;
     return s;
 }
 
@@ -296,4 +286,39 @@
     return if_complete(r, std::move(m));
 }
 
+std::string encode(const rate_request& m)
+{
+    wire_writer w;
+    w.text(m.workspace).u32(m.tokens).u32(m.sequence);
+    return w.take();
+}
+
+std::optional<rate_request> decode_rate_request(std::string_view bytes)
+{
+    wire_reader r{bytes};
+    rate_request m;
+    m.workspace = r.text();
+    m.tokens = r.u32();
+    m.sequence = r.u32();
+    return if_complete(r, std::move(m));
+}
+
+std::string encode(const rate_grant& m)
+{
+    wire_writer w;
+    w.text(m.workspace).u32(m.tokens).u32(m.sequence).i64(to_micros(m.retry_after));
+    return w.take();
+}
+
+std::optional<rate_grant> decode_rate_grant(std::string_view bytes)
+{
+    wire_reader r{bytes};
+    rate_grant m;
+    m.workspace = r.text();
+    m.tokens = r.u32();
+    m.sequence = r.u32();
+    m.retry_after = std::clamp<duration>(microseconds{r.i64()}, duration{}, max_grant_retry_after);
+    return if_complete(r, std::move(m));
+}
+
 } // namespace wagtailhatch
--- a/tests/node/entry_call_test.cpp
+++ b/tests/node/entry_call_test.cpp
@@ -48,6 +48,7 @@
         return std::make_shared<handle>();
     }
     const service_call* running(const std::string&) const override { return nullptr; }
+    bool request_rate(const peer_address&, const rate_request&) override { return false; }
     bool admits_deadline(steady_time deadline) const override { return deadline <= latest_deadline; }
     void on_downstream_call_end(const std::string&, bool) override {}
 
--- a/tests/peer/peer_mesh_test.cpp
+++ b/tests/peer/peer_mesh_test.cpp
@@ -39,7 +39,11 @@
     void on_peer_crash(const crash_report&) override {}
     void on_peer_store_contact(const peer_address& address) override { ++store_contacts[address]; }
     node_status own_status() override { return {}; }
-    node_status full_status() override { return {}; }
+    rate_grant on_peer_rate_request(const rate_request& request) override
+    {
+        return {request.workspace, request.tokens, request.sequence, {}};
+    }
+    void on_peer_rate_grant(const rate_grant&) override {}
     void on_peers_discovered(const std::vector<peer_address>&) override {}
 
     std::map<peer_address, int> statuses;
--- a/tests/peer/peer_messages_test.cpp
+++ b/tests/peer/peer_messages_test.cpp
@@ -56,13 +56,13 @@
     });
     node_status s;
     s.self = {"10.0.0.1:1", "i-1", "front", "north", 7, member_state::leaving};
-    s.usage = {false, {{"cafe", 2.5, -3}}};
+    s.allocates_rates = true;
     s.load.downstream_failing = true;
     s.load.rate_limit = 12.5;
     const auto status = decode_status(encode(s));
     REQUIRE(status);
     CHECK(status->self == s.self);
-    CHECK(status->usage == s.usage);
+    CHECK(status->allocates_rates);
     CHECK(status->load.downstream_failing);
     CHECK(status->load.rate_limit == 12.5);
     const auto failure = decode_failure(encode({refusal_reason::overload, false, true, 30ms, "i-1"}, {}));
@@ -72,6 +72,21 @@
     CHECK(failure->failure.retry_after == 30ms);
 }
 
+// Guards against tokens that are granted for another workspace or request, and against a delay from the wire
+// that would stop a node's requests for long.
+TEST_CASE("requests for tokens and their grants round-trip, and implausible delays are bounded")
+{
+    const rate_request request{"cafe", 3, 17};
+    CHECK(decode_rate_request(encode(request)) == request);
+    rate_grant grant{"cafe", 2, 17, 120ms};
+    CHECK(decode_rate_grant(encode(grant)) == grant);
+    grant.retry_after = 1h;
+    CHECK(decode_rate_grant(encode(grant))->retry_after <= 10s);
+    grant.retry_after = -1h;
+    CHECK(decode_rate_grant(encode(grant))->retry_after == duration{});
+    CHECK_FALSE(decode_rate_grant(encode(request)));
+}
+
 // Guards against crashes and huge allocations on malformed input.
 TEST_CASE("arbitrary bytes are decoded or rejected")
 {
--- a/tests/system/deployment.cpp
+++ b/tests/system/deployment.cpp
@@ -190,7 +190,8 @@
     return eventually([&] {
         return std::all_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
             const auto s = status(entry.second);
-            if (!s.is_object() || s["config_version"] == 0 || s["target"]["phase"] != "ready") {
+            if (!s.is_object() || s["config_version"] == 0 || !s["rates_known"] ||
+                s["target"]["phase"] != "ready") {
                 return false;
             }
             std::size_t ready = 0;
--- a/tests/system/deployment.h
+++ b/tests/system/deployment.h
@@ -69,8 +69,8 @@
     /// connections; extra holds additional flags.
     void start_target(machine& m, std::vector<std::string> extra);
 
-    /// Waits until every node has a configuration, its target is ready and it sees every other instance as
-    /// ready; false after 30 s.
+    /// Waits until every node has a configuration and knows who allocates rates, its target is ready and it
+    /// sees every other instance as ready; false after 30 s.
     bool wait_until_serving();
 
     /// Sends a request to the caller listener of a machine. limit is the deadline of the request; no
