Keep connections of callers that read slowly but steadily

Callers with a small receive buffer that read a large response at a steady pace had their connection reset after 3.9 to 4.5 s; requests sent behind it had run and were never answered. TCP_USER_TIMEOUT counts from the first loss of a recovery, not from the last progress, and a full receive buffer causes losses all the time, so it ended connections that moved.

Callers' connections no longer have that limit. The periodic check ends one if its peer has answered neither bytes nor two probes for 3 s, by the kernel's own counters. Idle connections are probed as before.

Connections to targets and peers keep the kernel's limit: a long upload that a target reads slowly is still bounded by its 2 s.

--- a/src/http1/caller_session.cpp
+++ b/src/http1/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "src/http1/caller_session.h"
 
+#include "include/observe/logging.h"
 #include "src/http1/message_format.h"
 #include "src/http1/socket_options.h"
 
@@ -119,7 +120,7 @@
 
 void caller_session::start()
 {
-    configure_socket(socket(), caller_unresponsive_timeout);
+    configure_slow_reader_socket(socket(), caller_unresponsive_timeout);
     last_activity_ = owner_.time().now();
     start_reading();
 }
@@ -367,6 +368,11 @@
     if (!is_open()) {
         return;
     }
+    if (unsent() > 0 && peer_unresponsive(socket(), caller_unresponsive_timeout)) {
+        log(log_level::info, "caller unresponsive", {{"unsent_bytes", unsent()}});
+        end();
+        return;
+    }
     const auto inactive_time = now - last_activity_;
     const auto& limits = owner_.limits();
     if (lingering_) {
--- a/src/http1/socket_options.cpp
+++ b/src/http1/socket_options.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/socket.h>
 
 namespace wagtailhatch {
@@ -15,6 +16,19 @@
     static_cast<void>(setsockopt(fd, level, name, &value, sizeof value));
 }
 
+// Unanswered probes or retransmissions after which silence is not just a pause between them.
+constexpr int min_unanswered = 2;
+
+std::optional<tcp_info> read_tcp_info(asio::ip::tcp::socket& socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return std::nullopt;
+    }
+    return info;
+}
+
 } // namespace
 
 void configure_socket(asio::ip::tcp::socket& socket, std::chrono::milliseconds peer_timeout)
@@ -32,4 +46,22 @@
     set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, probe_count);
 }
 
+void configure_slow_reader_socket(asio::ip::tcp::socket& socket, std::chrono::milliseconds peer_timeout)
+{
+    configure_socket(socket, peer_timeout);
+    if (read_tcp_info(socket)) {
+        set_option(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
+    }
+}
+
+bool peer_unresponsive(asio::ip::tcp::socket& socket, std::chrono::milliseconds peer_timeout)
+{
+    const auto info = read_tcp_info(socket);
+    if (!info) {
+        return false;
+    }
+    const bool repeated = info->tcpi_retransmits >= min_unanswered || info->tcpi_probes >= min_unanswered;
+    return repeated && std::chrono::milliseconds{info->tcpi_last_ack_recv} >= peer_timeout;
+}
+
 } // namespace wagtailhatch
--- a/tests/http1/caller_session_test.cpp
+++ b/tests/http1/caller_session_test.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
+#include <netinet/tcp.h>
 #include <set>
 
 using namespace wagtailhatch;
@@ -319,6 +321,42 @@
     CHECK(f.host.requests.size() == 1);
 }
 
+// A caller with a small receive buffer reads a large response steadily for longer than an unresponsive peer
+// is tolerated. Guards against ending a connection that moves: 24 requests behind such responses had run and
+// were never answered.
+TEST_CASE("a caller that reads slowly but steadily gets its whole response")
+{
+    constexpr std::size_t response_size = 150'000;
+    constexpr std::size_t read_size = 2048;
+    constexpr auto read_interval = 68ms; // About 30 kB a second, for 5 s.
+    constexpr int receive_buffer = 16384;
+    constexpr int ethernet_segment = 1448;
+    fixture f;
+    asio::ip::tcp::socket caller{f.io};
+    caller.open(asio::ip::tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size{receive_buffer});
+    REQUIRE(setsockopt(caller.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &ethernet_segment,
+                       sizeof ethernet_segment) == 0);
+    caller.connect({asio::ip::address_v4::loopback(), f.host.port()});
+    asio::write(caller, asio::buffer(get("/1")));
+    REQUIRE(f.wait([&] { return f.host.requests.size() == 1; }));
+    f.host.requests[0]->respond({200, {}, std::string(response_size, 'x')});
+    caller.non_blocking(true);
+    std::array<char, read_size> buffer{};
+    std::size_t received = 0;
+    std::error_code ec;
+    while (received < response_size && (!ec || ec == asio::error::would_block)) {
+        f.io.run_for(read_interval);
+        f.io.restart();
+        for (const auto& s : std::set<std::shared_ptr<caller_session>>{f.host.sessions}) {
+            s->check(f.host.now.now());
+        }
+        received += caller.read_some(asio::buffer(buffer), ec);
+    }
+    INFO("received " << received << " error " << ec.message());
+    CHECK(received >= response_size);
+}
+
 // Guards against a second response to one request, and against body memory that is never released.
 TEST_CASE("only the first response is sent, and the memory of bodies is released")
 {
