Copy request bodies less often

One request body within the callers' limit took its entry node over its memory limit, and the node was killed with all its requests. The body was held up to six times: a string that grows by doubling, a copy for the hash, one for the dispatch, one encoded, one in the frame, and on the far side a growing frame, its copy and a copy joined to the head.

Bodies and frames now reserve their announced size, the hash reads the parts in place, the dispatch takes a reference, and large payloads and bodies are written apart from their headers.

What several large bodies at once may take is still not bounded by the settings.

--- a/src/call/dispatched_call.cpp
+++ b/src/call/dispatched_call.cpp
@@ -52,11 +52,12 @@
     metadata.workspace = call_.workspace;
     metadata.origin = call_.origin;
     dispatcher_.codec_.write_target_headers(metadata, request.headers);
-    auto bytes = format_request_head(request, request.body.size());
-    bytes += request.body;
-    const bool head_only = request.method == "HEAD";
-    connection_ =
-        dispatcher_.pool_.start({std::move(bytes), head_only, call_.idempotent}, shared_from_this());
+    target_request outgoing;
+    outgoing.bytes = format_request_head(request, request.body.size());
+    outgoing.head_only = request.method == "HEAD";
+    outgoing.repeatable = call_.idempotent;
+    outgoing.body = std::move(request.body);
+    connection_ = dispatcher_.pool_.start(std::move(outgoing), shared_from_this());
 }
 
 void dispatched_call::refuse(refusal_reason reason, duration retry_after)
--- a/src/http1/caller_session.cpp
+++ b/src/http1/caller_session.cpp
@@ -178,6 +178,8 @@
         reject(413);
         return;
     }
+    // Growing step by step would take up to twice the size of a large body.
+    current_->request.body.reserve(head.content_length.value_or(0));
     if (ask_for_body && exchanges_.empty()) {
         send("HTTP/1.1 100 Continue\r\n\r\n");
     }
--- a/src/http1/target_connection.cpp
+++ b/src/http1/target_connection.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t max_overhead = std::size_t{256} << 10;
 // A chunk of one byte has five bytes of framing.
 constexpr std::size_t max_overhead_per_byte = 8;
+// Larger request bodies are written apart from their head: a second write costs less than a copy.
+constexpr std::size_t max_joined_body = std::size_t{16} << 10;
 constexpr duration default_idle_limit = 4s;
 // The target closes idle connections by its own clock; no request may be in transit when it does.
 constexpr duration reuse_margin = 700ms;
@@ -37,12 +39,12 @@
 {
 }
 
-void target_connection::connect(const asio::ip::tcp::endpoint& to, std::string request, bool head_request,
+void target_connection::connect(const asio::ip::tcp::endpoint& to, target_request request,
                                 std::shared_ptr<target_events> events)
 {
     events_ = std::move(events);
     connecting_ = true;
-    socket().async_connect(to, [this, request = std::move(request), head_request,
+    socket().async_connect(to, [this, request = std::move(request),
                                 keep = shared_from_this()](const std::error_code& ec) mutable {
         connecting_ = false;
         if (ended_) {
@@ -55,19 +57,23 @@
         }
         configure_socket(socket(), target_unresponsive_timeout);
         start_reading();
-        exchange(std::move(request), head_request, std::exchange(events_, nullptr));
+        exchange(std::move(request), std::exchange(events_, nullptr));
     });
 }
 
-void target_connection::exchange(std::string request, bool head_request,
-                                 std::shared_ptr<target_events> events)
+void target_connection::exchange(target_request request, std::shared_ptr<target_events> events)
 {
     events_ = std::move(events);
-    head_request_ = head_request;
+    head_request_ = request.head_only;
     delivered_ = 0;
     overhead_ = 0;
-    parser_.reset(head_request);
-    send(std::move(request));
+    parser_.reset(head_request_);
+    if (request.body.size() <= max_joined_body) {
+        request.bytes += request.body;
+        request.body.clear();
+    }
+    send(std::move(request.bytes));
+    send(std::move(request.body));
 }
 
 void target_connection::cancel()
--- a/src/http1/target_connection.h
+++ b/src/http1/target_connection.h
@@ -36,6 +36,14 @@
     virtual void on_target_failure(target_failure failure) = 0;
 };
 
+/// A serialized request to the target.
+struct target_request {
+    std::string bytes;      ///< Head and body, or the head alone if `body` holds the body.
+    bool head_only = false; ///< A HEAD request: the response has no body.
+    bool repeatable = true; ///< If false, only very recently used connections are reused.
+    std::string body{};     ///< Kept apart from the head, so that a large body is not copied.
+};
+
 class target_connection;
 
 /// Notified when a connection becomes idle or closes.
@@ -53,11 +61,11 @@
     target_connection(asio::ip::tcp::socket socket, target_connection_owner& owner, const clock& time);
 
     /// Connects, then sends the request.
-    void connect(const asio::ip::tcp::endpoint& to, std::string request, bool head_request,
+    void connect(const asio::ip::tcp::endpoint& to, target_request request,
                  std::shared_ptr<target_events> events);
 
     /// Sends a request on an idle connection.
-    void exchange(std::string request, bool head_request, std::shared_ptr<target_events> events);
+    void exchange(target_request request, std::shared_ptr<target_events> events);
 
     /// Closes the connection, so that the target can stop work on the request. No event follows.
     void cancel();
--- a/src/http1/target_pool.cpp
+++ b/src/http1/target_pool.cpp
@@ -52,14 +52,14 @@
                                                     std::shared_ptr<target_events> events)
 {
     if (auto connection = take_idle(request.repeatable)) {
-        connection->exchange(std::move(request.bytes), request.head_only, std::move(events));
+        connection->exchange(std::move(request), std::move(events));
         return connection;
     }
     auto connection = std::make_shared<target_connection>(
         asio::ip::tcp::socket{io_}, static_cast<target_connection_owner&>(*this), time_);
     connections_.emplace(connection.get(), connection);
     ++opened_;
-    connection->connect(target_, std::move(request.bytes), request.head_only, std::move(events));
+    connection->connect(target_, std::move(request), std::move(events));
     return connection;
 }
 
--- a/src/http1/target_pool.h
+++ b/src/http1/target_pool.h
@@ -13,13 +13,6 @@
 
 namespace wagtailhatch {
 
-/// A serialized request to the target.
-struct target_request {
-    std::string bytes;      ///< Head and body.
-    bool head_only = false; ///< A HEAD request: the response has no body.
-    bool repeatable = true; ///< If false, only very recently used connections are reused.
-};
-
 /// Pool of connections to the target next to this node. Reuses the most recently used idle connection.
 /// Single-threaded.
 class target_pool final : private target_connection_owner {
--- a/src/node/entry_call.cpp
+++ b/src/node/entry_call.cpp
@@ -34,13 +34,18 @@
 // Retry-After is at most 1/4 of the time left; jitter may extend it to at most a third.
 constexpr int retry_after_divisor = 4;
 
+/// Hash of everything that makes two requests equal. Hashed in parts, because a body may be large.
 std::uint64_t fingerprint_of(const http_request& request, std::string_view origin)
 {
-    auto text = request.method + ' ' + request.target + '\n';
-    text += origin;
-    text += '\n';
-    text += request.body;
-    return XXH64(text.data(), text.size(), 0);
+    const std::unique_ptr<XXH64_state_t, XXH_errorcode (*)(XXH64_state_t*)> state{XXH64_createState(),
+                                                                                  XXH64_freeState};
+    XXH64_reset(state.get(), 0);
+    for (const std::string_view part :
+         {std::string_view{request.method}, std::string_view{" "}, std::string_view{request.target},
+          std::string_view{"\n"}, origin, std::string_view{"\n"}, std::string_view{request.body}}) {
+        XXH64_update(state.get(), part.data(), part.size());
+    }
+    return XXH64_digest(state.get());
 }
 
 } // namespace
--- a/src/node/entry_router.h
+++ b/src/node/entry_router.h
@@ -36,7 +36,7 @@
 
     /// Sends the call. Returns nullptr if the instance cannot be reached now. Never calls the sink before it
     /// returns.
-    virtual std::shared_ptr<call_handle> dispatch(const member& to, service_call call,
+    virtual std::shared_ptr<call_handle> dispatch(const member& to, const service_call& call,
                                                   std::shared_ptr<reply_sink> sink) = 0;
 
     /// Returns the request with that id if this node's own target is running it, else nullptr.
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -183,11 +183,11 @@
     router_.handle(std::move(exchange));
 }
 
-std::shared_ptr<call_handle> traffic_plane::dispatch(const member& to, service_call call,
+std::shared_ptr<call_handle> traffic_plane::dispatch(const member& to, const service_call& call,
                                                      std::shared_ptr<reply_sink> sink)
 {
     if (to.address == settings_.peers) {
-        return target_dispatcher_.start(std::move(call), std::move(sink));
+        return target_dispatcher_.start(call, std::move(sink));
     }
     if (!mesh_.linked(to.address)) {
         return nullptr;
--- a/src/node/traffic_plane.h
+++ b/src/node/traffic_plane.h
@@ -113,7 +113,7 @@
     void on_accept_failure() override { stats_.callers_not_accepted.add(); }
 
     // call_dispatcher
-    std::shared_ptr<call_handle> dispatch(const member& to, service_call call,
+    std::shared_ptr<call_handle> dispatch(const member& to, const service_call& call,
                                           std::shared_ptr<reply_sink> sink) override;
     const service_call* running(const std::string& id) const override
     {
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t header_size = sizeof(std::uint32_t) + sizeof(std::uint8_t) + sizeof(std::uint64_t);
 // Bytes. A call frame carries a complete request body.
 constexpr std::size_t max_frame_size = std::size_t{80} << 20;
+// Larger payloads are written apart from their header: a second write costs less than a copy.
+constexpr std::size_t max_joined_payload = std::size_t{16} << 10;
 constexpr auto link_silence_timeout = 1500ms;
 
 struct frame_header {
@@ -88,6 +90,18 @@
     send(w.take());
 }
 
+void peer_link::send_large_frame(frame_type type, stream_id stream, std::string payload)
+{
+    if (payload.size() <= max_joined_payload) {
+        send_frame(type, stream, payload);
+        return;
+    }
+    wire_writer w;
+    w.u32(static_cast<std::uint32_t>(payload.size())).u8(static_cast<std::uint8_t>(type)).u64(stream);
+    send(w.take());
+    send(std::move(payload));
+}
+
 void peer_link::end()
 {
     if (std::exchange(ended_, true)) {
@@ -139,6 +153,8 @@
     }
     if (is_open()) {
         needed_ = bytes.size() < header_size ? header_size : needed_;
+        // Growing step by step would take up to twice the size of a large frame.
+        partial_.reserve(needed_);
         partial_.assign(bytes);
     }
 }
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -48,6 +48,9 @@
 
     void send_frame(frame_type type, stream_id stream, std::string_view payload);
 
+    /// As send_frame(), without copying the payload.
+    void send_large_frame(frame_type type, stream_id stream, std::string payload);
+
     /// Closes the link and notifies the owner by on_link_end().
     void end();
 
--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -391,7 +391,7 @@
     const auto link = links_.at(to);
     const auto stream = link->next_stream();
     link->calls.emplace(stream, std::move(sink));
-    link->send_frame(frame_type::call, stream, encode(call, time_.now()));
+    link->send_large_frame(frame_type::call, stream, encode(call, time_.now()));
     return std::make_shared<outgoing_call>(std::static_pointer_cast<peer_link>(link->shared_from_this()),
                                            stream);
 }
--- a/tests/node/entry_call_test.cpp
+++ b/tests/node/entry_call_test.cpp
@@ -36,7 +36,7 @@
     {
     }
 
-    std::shared_ptr<call_handle> dispatch(const member& to, service_call,
+    std::shared_ptr<call_handle> dispatch(const member& to, const service_call&,
                                           std::shared_ptr<reply_sink> sink) override
     {
         struct handle final : call_handle {
