Keep the event loops running after an unexpected exception

An exception in one handler left io_context::run() and ended the process with all its requests: none of the two loops caught anything. No message is known that makes a handler throw; the decoders are fuzzed. But a bad allocation, or an error that a library reports by an exception, would have been enough.

The loops log the exception and go on; only the handler that threw ends.

--- a/src/node/event_thread.cpp
+++ b/src/node/event_thread.cpp
@@ -1,7 +1,10 @@
 #include "src/node/event_thread.h"
 
+#include "include/observe/logging.h"
+
 #include <asio/post.hpp>
 
+#include <exception>
 #include <future>
 
 namespace wagtailhatch {
@@ -13,7 +16,24 @@
 
 void event_thread::start()
 {
-    thread_ = std::thread{[this] { io_.run(); }};
+    thread_ = std::thread{[this] { run(); }};
+}
+
+void event_thread::run()
+{
+    // run() returns once the loop is stopped; after an exception it can be called again.
+    for (bool ended = false; !ended;) {
+        try {
+            io_.run();
+            ended = true;
+        }
+        catch (const std::exception& e) {
+            log(log_level::error, "handler failed", {{"error", e.what()}});
+        }
+        catch (...) {
+            log(log_level::error, "handler failed", {{"error", "not a standard exception"}});
+        }
+    }
 }
 
 void event_thread::run_and_wait(const std::function<void()>& task)
--- a/src/node/event_thread.h
+++ b/src/node/event_thread.h
@@ -9,7 +9,8 @@
 
 namespace wagtailhatch {
 
-/// A thread that runs an event loop until stopped.
+/// A thread that runs an event loop until stopped. A handler that throws ends only itself: the exception is
+/// logged, and the loop goes on.
 class event_thread {
 public:
     event_thread()
@@ -33,6 +34,8 @@
     void run_ready();
 
 private:
+    void run();
+
     // A single thread runs the loop. A concurrency hint of 1 lets Asio omit the locks on the loop's own
     // queue.
     asio::io_context io_{1};
