Remove only the own row of a node that leaves

A stopping node removed its row from the store without a condition. The store may perform a call whose answer was lost seconds later; by then the next process on the same address can have written its row. Its removal made all nodes forget a live node: they no longer dialled it, and nodes that started later did not learn of it.

The removal now requires the version that this process wrote.

Evidence: found by reading, on a report of other operators about restarts; the new test fails without the condition.

--- a/include/membership/node_registry.h
+++ b/include/membership/node_registry.h
@@ -70,6 +70,7 @@
     std::uint64_t pass_ = 0; ///< Incremented by each read of all rows; earlier passes end.
     bool active_ = true;
     bool call_in_progress_ = false; ///< A call of the current pass, or the pause before it, is in progress.
+    std::uint64_t own_version_ = 0; ///< Of the own row; 0 while the store has not acknowledged it.
     duration write_backoff_{};
     duration read_backoff_{};
 };
--- a/src/membership/node_registry.cpp
+++ b/src/membership/node_registry.cpp
@@ -80,6 +80,7 @@
             return;
         }
         if (version) {
+            own_version_ = *version;
             write_backoff_ = {};
             read_all();
             return;
@@ -170,6 +171,10 @@
 void node_registry::leave(std::function<void()> done)
 {
     store_transaction t;
+    // A removal that takes effect late must not remove the row of the next process on this address.
+    if (own_version_ > 0) {
+        t.preconditions.push_back({nodes_table, self_.address, own_version_});
+    }
     t.remove.push_back({nodes_table, self_.address, {}, 0, false});
     store_.commit(t, [done = std::move(done)](const result<std::uint64_t>& version) {
         if (!version) {
--- a/tests/membership/node_registry_test.cpp
+++ b/tests/membership/node_registry_test.cpp
@@ -91,3 +91,16 @@
     f.registry->set_active(true);
     REQUIRE(f.store.reads.size() == 1);
 }
+
+// A stopping node's last call to the store is performed seconds later, when the next process on this address
+// has written its row. Guards against removing that row, after which the others would forget a live node.
+TEST_CASE("leaving removes only the row that this process has written")
+{
+    registry_fixture f;
+    answer_oldest(f.store.writes, result<std::uint64_t>{5});
+    f.registry->leave([] {});
+    REQUIRE(f.store.last_transaction.remove.size() == 1);
+    REQUIRE(f.store.last_transaction.preconditions.size() == 1);
+    CHECK(f.store.last_transaction.preconditions.front().key == "10.0.0.1:1");
+    CHECK(f.store.last_transaction.preconditions.front().version == 5);
+}
--- a/tests/store/scripted_store.h
+++ b/tests/store/scripted_store.h
@@ -23,14 +23,17 @@
         followed_after = after;
         follows.push_back(std::move(done));
     }
-    void commit(const store_transaction&, std::function<void(result<std::uint64_t>)> done) override
+    void commit(const store_transaction& transaction,
+                std::function<void(result<std::uint64_t>)> done) override
     {
+        last_transaction = transaction;
         writes.push_back(std::move(done));
     }
 
     std::deque<std::function<void(result<store_page>)>> reads;
     std::deque<std::function<void(result<store_page>)>> follows;
     std::deque<std::function<void(result<std::uint64_t>)>> writes;
+    store_transaction last_transaction;
     std::uint64_t followed_after = 0;
     std::chrono::milliseconds last_timeout{}; ///< Of the newest read() or follow(), with its long poll.
 };
