Report calls that a lost link had not sent as not run

When a link ended, every call on it was reported as of unknown outcome, also those whose frame still waited in this node. Callers of orders got a 502 and could not repeat them, although no target could have seen them.

A link counts the bytes written to its socket. A call whose frame was not written completely is reported as not run and not arrived, so it is sent to another instance or refused with a 503. Frames that were written stay of unknown outcome.

--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -172,6 +172,7 @@
         }
         sent += n;
         unsent_ -= n;
+        written_ += n;
         front_sent_ += n;
         if (front_sent_ == front.size()) {
             queue_.pop_front();
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -4,6 +4,7 @@
 #include <asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <list>
 #include <memory>
 #include <string>
@@ -35,6 +36,9 @@
     bool is_open() const { return open_; }
     std::size_t unsent() const { return unsent_; }
 
+    /// Bytes written to the socket since the start, also after the end of the connection.
+    std::uint64_t written() const { return written_; }
+
 protected:
     explicit byte_stream(asio::ip::tcp::socket socket);
 
@@ -74,6 +78,7 @@
     std::list<std::string> queue_; ///< A list allocates nothing while empty, unlike a deque.
     std::size_t front_sent_ = 0;   ///< Bytes of the first queued string already written.
     std::size_t unsent_ = 0;
+    std::uint64_t written_ = 0;
     bool open_ = false;
     bool reading_ = false; ///< A wait for readability is pending.
     bool paused_ = false;
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -31,6 +31,12 @@
     virtual void on_link_end(peer_link& link) = 0;
 };
 
+/// A call made to a peer that has not ended.
+struct outgoing_call_state {
+    std::shared_ptr<reply_sink> sink;
+    std::uint64_t frame_end = 0; ///< Value of byte_stream::written() once its frame is written completely.
+};
+
 /// A call received from a peer that has not been started.
 struct unstarted_call {
     stream_id stream = 0;
@@ -67,7 +73,7 @@
     peer_address peer; ///< Address of the peer; on an accepted link it is empty until its hello.
 
     /// Calls made by this side.
-    std::unordered_map<stream_id, std::shared_ptr<reply_sink>> calls;
+    std::unordered_map<stream_id, outgoing_call_state> calls;
     /// Calls of the peer that are not started yet: a following frame that has already arrived may cancel
     /// them.
     std::vector<unstarted_call> unstarted;
--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -390,8 +390,8 @@
 {
     const auto link = links_.at(to);
     const auto stream = link->next_stream();
-    link->calls.emplace(stream, std::move(sink));
     link->send_large_frame(frame_type::call, stream, encode(call, time_.now()));
+    link->calls.emplace(stream, outgoing_call_state{std::move(sink), link->written() + link->unsent()});
     return std::make_shared<outgoing_call>(std::static_pointer_cast<peer_link>(link->shared_from_this()),
                                            stream);
 }
@@ -435,8 +435,10 @@
         }
     }
     auto calls = std::exchange(link.calls, {});
-    for (auto& [stream, sink] : calls) {
-        sink->on_failure({refusal_reason::connection_lost, true, true, {}, {}}, {});
+    for (auto& [stream, call] : calls) {
+        // The peer cannot have started a call whose frame was never written completely.
+        const bool sent = call.frame_end <= link.written();
+        call.sink->on_failure({refusal_reason::connection_lost, sent, sent, {}, {}}, {});
     }
     for (const auto& unstarted : std::exchange(link.unstarted, {})) {
         log_unstarted(unstarted);
@@ -602,7 +604,7 @@
     if (found == link.calls.end()) {
         return; // The call has been cancelled.
     }
-    const auto sink = found->second;
+    const auto sink = found->second.sink;
     if (type == frame_type::reply_data) {
         sink->on_reply_data(std::string{payload});
         return;
--- a/tests/peer/peer_mesh_test.cpp
+++ b/tests/peer/peer_mesh_test.cpp
@@ -170,3 +170,33 @@
     asio::write(other, asio::buffer(frame(frame_type::hello, 0, encode(hello))));
     CHECK(run_until(f.io, [&] { return f.mesh.linked("127.0.0.1:2"); }));
 }
+
+// A link is so slow that calls wait in this node when it ends. Guards against telling callers that the
+// outcome of a call is unknown which never left this node: they may not repeat an order after that.
+TEST_CASE("calls that a lost link has not sent yet are reported as not run")
+{
+    struct failure_recorder final : reply_sink {
+        void on_reply(http_response, const load_report&) override {}
+        void on_reply_head(http_response, std::optional<std::uint64_t>, const load_report&) override {}
+        void on_reply_data(std::string) override {}
+        void on_reply_end() override {}
+        void on_failure(const call_failure& f, const load_report&) override { failure = f; }
+        std::optional<call_failure> failure;
+    };
+    mesh_fixture f;
+    std::vector<std::shared_ptr<failure_recorder>> sinks;
+    service_call call;
+    call.deadline = f.time.now() + 10s;
+    call.soft_deadline = call.deadline;
+    call.request.body.assign(std::size_t{1} << 20, 'x');
+    constexpr int calls = 24; // More than the socket buffers of both sides hold.
+    for (int i = 0; i < calls; ++i) {
+        sinks.push_back(std::make_shared<failure_recorder>());
+        f.mesh.call("127.0.0.1:1", call, sinks.back());
+    }
+    f.peer.close();
+    REQUIRE(run_until(f.io, [&] { return sinks.back()->failure.has_value(); }));
+    CHECK(sinks.front()->failure->may_have_run);
+    CHECK_FALSE(sinks.back()->failure->may_have_run);
+    CHECK_FALSE(sinks.back()->failure->reached_target);
+}
