Move the sink and the handle of peer calls to a file of their own

The objects of single calls need only their link. No behaviour changes; the tests of the mesh are untouched.

--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -2,6 +2,7 @@
 
 #include "include/observe/logging.h"
 #include "src/core/socket_address.h"
+#include "src/peer/peer_call.h"
 
 #include <asio/post.hpp>
 
@@ -30,100 +31,11 @@
 // Limits the dials per tick, so that a node that starts among many others does not open all links at once.
 constexpr int dials_per_tick = 24;
 
-/// Sends the answer to a peer's call back over its link.
-class incoming_sink final : public reply_sink {
-public:
-    incoming_sink(std::weak_ptr<peer_link> link, stream_id stream)
-        : link_{std::move(link)}
-        , stream_{stream}
-    {
-    }
-
-    void on_reply(http_response response, const load_report& load) override
-    {
-        const auto length = response.body.size();
-        finish(frame_type::reply, encode(response, length, load));
-    }
-    void on_reply_head(http_response head, std::optional<std::uint64_t> length,
-                       const load_report& load) override
-    {
-        if (const auto link = link_.lock()) {
-            link->send_frame(frame_type::reply_head, stream_, encode(head, length, load));
-        }
-    }
-    void on_reply_data(std::string bytes) override
-    {
-        if (const auto link = link_.lock()) {
-            link->send_frame(frame_type::reply_data, stream_, bytes);
-        }
-    }
-    void on_reply_end() override { finish(frame_type::reply_end, {}); }
-    void on_failure(const call_failure& failure, const load_report& load) override
-    {
-        finish(frame_type::failure, encode(failure, load));
-    }
-
-private:
-    void finish(frame_type type, const std::string& payload)
-    {
-        if (const auto link = link_.lock()) {
-            link->incoming.erase(stream_);
-            link->send_frame(type, stream_, payload);
-        }
-    }
-
-    std::weak_ptr<peer_link> link_;
-    stream_id stream_;
-};
-
-class outgoing_call final : public call_handle {
-public:
-    outgoing_call(std::weak_ptr<peer_link> link, stream_id stream)
-        : link_{std::move(link)}
-        , stream_{stream}
-    {
-    }
-
-    void cancel() override
-    {
-        const auto link = link_.lock();
-        if (link && link->calls.erase(stream_) > 0) {
-            link->send_frame(frame_type::cancel, stream_, {});
-        }
-    }
-    void consumed(std::size_t bytes) override
-    {
-        const auto link = link_.lock();
-        if (link && link->calls.count(stream_) > 0) {
-            wire_size size{};
-            for (std::size_t i = 0; i < size.size(); ++i) {
-                size.at(i) = static_cast<char>(bytes >> (8 * i) & 0xffU);
-            }
-            link->send_frame(frame_type::window, stream_, {size.data(), size.size()});
-        }
-    }
-
-    using wire_size = std::array<char, sizeof(std::uint32_t)>;
-
-private:
-    std::weak_ptr<peer_link> link_;
-    stream_id stream_;
-};
-
 void log_unstarted(const unstarted_call& unstarted)
 {
     log(log_level::info, "work cancelled", {{"id", unstarted.call.id}, {"begun", false}});
 }
 
-std::size_t window_size(std::string_view payload)
-{
-    std::size_t bytes = 0;
-    for (std::size_t i = 0; i < payload.size() && i < sizeof(std::uint32_t); ++i) {
-        bytes |= static_cast<std::size_t>(static_cast<unsigned char>(payload[i])) << (8 * i);
-    }
-    return bytes;
-}
-
 } // namespace
 
 peer_mesh::peer_mesh(asio::io_context& io, const clock& time, random_source& random,
@@ -392,8 +304,7 @@
     const auto stream = link->next_stream();
     link->send_large_frame(frame_type::call, stream, encode(call, time_.now()));
     link->calls.emplace(stream, outgoing_call_state{std::move(sink), link->written() + link->unsent()});
-    return std::make_shared<outgoing_call>(std::static_pointer_cast<peer_link>(link->shared_from_this()),
-                                           stream);
+    return make_outgoing_call(link, stream);
 }
 
 std::size_t peer_mesh::calls_in_progress() const
@@ -470,7 +381,7 @@
         return;
     case frame_type::window:
         if (const auto found = link.incoming.find(stream); found != link.incoming.end()) {
-            found->second->consumed(window_size(payload));
+            found->second->consumed(decode_window(payload));
         }
         return;
     case frame_type::config_request:
@@ -566,7 +477,7 @@
     if (!call) {
         log(log_level::warning, "peer call malformed", {{"peer", link.peer}});
         const auto keep = std::static_pointer_cast<peer_link>(link.shared_from_this());
-        incoming_sink{keep, stream}.on_failure({refusal_reason::malformed, false, false, {}, {}}, {});
+        make_incoming_sink(keep, stream)->on_failure({refusal_reason::malformed, false, false, {}, {}}, {});
         return;
     }
     link.unstarted.push_back({stream, std::move(*call)});
@@ -577,8 +488,8 @@
     const auto keep = std::static_pointer_cast<peer_link>(link.shared_from_this());
     auto calls = std::exchange(link.unstarted, {});
     for (auto& [stream, call] : calls) {
-        link.incoming.emplace(
-            stream, events_.on_peer_call(std::move(call), std::make_shared<incoming_sink>(keep, stream)));
+        link.incoming.emplace(stream,
+                              events_.on_peer_call(std::move(call), make_incoming_sink(keep, stream)));
     }
 }
 
