Decide who may allocate rates outside the traffic plane

Whether a node knows enough of its fleet, and that leaving nodes come last, were decided between sockets, where no test reached them. No behaviour changes.

--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -1,6 +1,7 @@
 #include "src/node/traffic_plane.h"
 
 #include "include/observe/logging.h"
+#include "include/quota/allocator_candidates.h"
 #include "src/core/socket_address.h"
 
 #include <asio/post.hpp>
@@ -20,11 +21,6 @@
 constexpr duration sweep_interval = 250ms;
 // The stop time is short; the end of the drain must not add a whole sweep interval to it.
 constexpr duration drain_sweep_interval = 50ms;
-// A node allocates rates once it has links to most nodes, or after a while without them. A node that knows
-// few others would take itself for the allocator of workspaces whose allocator is alive.
-constexpr duration min_allocator_join_time = 200ms;
-constexpr duration max_allocator_join_time = 3s;
-constexpr double allocator_link_fraction = 0.8;
 constexpr duration config_request_interval = 500ms;
 // Share of the file descriptors available to callers' connections. The rest is for peers, the target, the
 // store and files.
@@ -157,7 +153,9 @@
 
 void traffic_plane::check_rate_allocation()
 {
-    const bool allocates = may_allocate_rates(time_.now());
+    const fleet_knowledge known{config_.content != nullptr, mesh_.contact_count(), mesh_.link_count(),
+                                time_.now() - started_};
+    const bool allocates = may_allocate_rates(known);
     const auto silent = mesh_.silent_count();
     const bool role_changed = allocates != std::exchange(allocates_rates_, allocates);
     if (role_changed || silent != std::exchange(silent_peers_, silent)) {
@@ -267,37 +265,21 @@
     update_rate_allocators();
 }
 
-bool traffic_plane::may_allocate_rates(steady_time now) const
-{
-    if (!config_.content) {
-        return false;
-    }
-    const auto age = now - started_;
-    const auto needed_links = static_cast<double>(mesh_.contact_count()) * allocator_link_fraction;
-    const bool linked = static_cast<double>(mesh_.link_count()) >= needed_links;
-    return age >= max_allocator_join_time || (age >= min_allocator_join_time && linked);
-}
-
 void traffic_plane::update_rate_allocators()
 {
-    // Leaving nodes allocate rates only if no other node does, so that a fleet that stops as a whole serves
-    // on.
-    std::vector<peer_address> staying;
-    std::vector<peer_address> leaving;
+    allocator_candidates candidates;
     if (allocates_rates_) {
-        const bool leaves = self().state == member_state::leaving;
-        (leaves ? leaving : staying).push_back(settings_.peers);
+        candidates.add(settings_.peers, self().state == member_state::leaving);
     }
     for (const auto& [address, status] : peers_) {
         const auto state = status.self.state;
         if (status.allocates_rates && state != member_state::left && mesh_.linked(address)) {
-            (state == member_state::leaving ? leaving : staying).push_back(address);
+            candidates.add(address, state == member_state::leaving);
         }
     }
-    const auto& allocators = staying.empty() ? leaving : staying;
     const auto all = static_cast<double>(mesh_.link_count() + silent_peers_ + 1);
-    router_.set_rate_allocators(allocators, 1 - static_cast<double>(silent_peers_) / all);
-    if (!allocators.empty() && !std::exchange(rates_known_, true)) {
+    router_.set_rate_allocators(candidates.nodes(), 1 - static_cast<double>(silent_peers_) / all);
+    if (!candidates.nodes().empty() && !std::exchange(rates_known_, true)) {
         events_.rates_known();
     }
 }
--- a/src/node/traffic_plane.h
+++ b/src/node/traffic_plane.h
@@ -135,8 +135,7 @@
     std::set<peer_address> current_suspects() const;
     void check_drained();
     void elect_store_readers();
-    /// Whether this node knows enough of the fleet to allocate rates.
-    bool may_allocate_rates(steady_time now) const;
+    /// Begins or ends to allocate rates as this node learns of the fleet.
     void check_rate_allocation();
     void update_rate_allocators();
     void report_load();
