--- a/tests/quota/rate_fleet.h
+++ b/tests/quota/rate_fleet.h
@@ -144,6 +144,8 @@
 private:
     static constexpr duration heartbeat = std::chrono::milliseconds{400};
     static constexpr duration silence_timeout = std::chrono::milliseconds{1600};
+    /// A node looks at its links this often.
+    static constexpr duration view_interval = std::chrono::milliseconds{100};
     static constexpr duration link_time = std::chrono::milliseconds{200};
     /// From when it has links, a node waits this long before it allocates rates.
     static constexpr duration join_time = std::chrono::milliseconds{300};
@@ -155,6 +157,7 @@
         std::vector<bool> present;      ///< Peers with a link.
         steady_time linked_at{};        ///< From when peers have links to this process.
         steady_time last_heartbeat{};
+        steady_time next_view{};
         bool view_changed = true;
         double pending = 0;
     };
@@ -252,7 +255,10 @@
                 }
             }
         }
-        update_view(i);
+        if (now_ >= n.next_view) {
+            n.next_view = now_ + view_interval;
+            update_view(i);
+        }
         n.pending += per_second * std::chrono::duration<double>(fleet_tick).count() * 2 * random_.unit();
         for (; n.pending >= 1; n.pending -= 1) {
             send_request(i);
