Wait longer for an answer before requesting tokens again

A request for tokens was repeated after 60 ms, and the answer to the earlier one is not used. With a round trip of 80 ms to the allocator every request of a rarely used workspace was refused, although its demand was within the rate.

The request is repeated after 250 ms.

Evidence: found when reading the change once more.

--- a/src/quota/rate_tokens.cpp
+++ b/src/quota/rate_tokens.cpp
@@ -12,8 +12,9 @@
 constexpr duration token_lifetime = 400ms;
 // A busy node holds tokens for this much of its demand.
 constexpr duration prefetch_time = 200ms;
-// A request for tokens without an answer is repeated after this time.
-constexpr duration request_timeout = 60ms;
+// A request for tokens without an answer is repeated after this time, which is longer than a round trip
+// between distant regions: the answer to a repeated request is not used.
+constexpr duration request_timeout = 250ms;
 constexpr duration demand_window = 500ms;
 constexpr double demand_smoothing = 0.5; ///< Weight of the last window.
 
--- a/tests/quota/rate_limiter_test.cpp
+++ b/tests/quota/rate_limiter_test.cpp
@@ -345,3 +345,18 @@
         RC_ASSERT(f.max_in_window <= f.bound());
     });
 }
+
+// Allocators in a distant region, with a round trip of 80 ms. Guards against requests for tokens that are
+// repeated before their answer can arrive, so that no answer is ever used.
+TEST_CASE("demand within the rate is served over slow links")
+{
+    const double rate = 120;
+    fleet f{60, rate};
+    f.delay = [](std::size_t a, std::size_t b) -> duration { return (a < 30) == (b < 30) ? 1ms : 40ms; };
+    f.run(5s, [&](std::size_t) { return rate * 0.6 / 60; });
+    f.refused = 0;
+    f.sent = 0;
+    f.run(10s, [&](std::size_t) { return rate * 0.6 / 60; });
+    INFO("refused " << f.refused << " of " << f.sent);
+    CHECK(static_cast<double>(f.refused) <= 0.01 * static_cast<double>(f.sent));
+}
