--- a/tests/quota/allocator_candidates_test.cpp
+++ b/tests/quota/allocator_candidates_test.cpp
@@ -38,6 +38,7 @@
     constexpr int node_count = 20;
     constexpr int workspace_count = 2000;
     std::vector<peer_address> nodes;
+    nodes.reserve(node_count);
     for (int i = 0; i < node_count; ++i) {
         nodes.push_back("10.0.0." + std::to_string(i) + ":1");
     }
