--- a/include/quota/rate_limiter.h
+++ b/include/quota/rate_limiter.h
@@ -27,7 +27,8 @@
 /// node, its allocator; the others request tokens from it, which lapse after a short time. A node that has
 /// lost its allocator admits nothing beyond the tokens that it holds, so the sum over all nodes stays bounded
 /// while links are cut, slow or lossy. Requests wait a little for tokens instead of being refused at once.
-/// Not thread-safe.
+/// All times are those of clock::now_with_suspend(), so that tokens also lapse while the machine is
+/// suspended. Not thread-safe.
 class rate_limiter {
 public:
     using decision_callback = std::function<void(const rate_decision&)>;
