Write the header of a peer frame in one place

The frames with and without a copy of their payload each wrote it. Includes that nothing uses go. No behaviour changes; the tests of the mesh, the quota, the node and the system pass.

--- a/include/quota/rate_limiter.h
+++ b/include/quota/rate_limiter.h
@@ -11,7 +11,6 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
--- a/include/quota/rate_tokens.h
+++ b/include/quota/rate_tokens.h
@@ -1,11 +1,9 @@
 #pragma once
 
 #include "include/core/clock.h"
-#include "include/core/string_map.h"
 #include "include/quota/rate_allocator.h"
 
 #include <cstdint>
-#include <string_view>
 #include <vector>
 
 namespace wagtailhatch {
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -37,6 +37,13 @@
     return h;
 }
 
+std::string write_header(frame_type type, stream_id stream, std::size_t payload_size)
+{
+    wire_writer w;
+    w.u32(static_cast<std::uint32_t>(payload_size)).u8(static_cast<std::uint8_t>(type)).u64(stream);
+    return w.take();
+}
+
 bool is_silence(const std::error_code& reason)
 {
     return reason == asio::error::timed_out || reason == asio::error::host_unreachable ||
@@ -84,10 +91,9 @@
     if (!is_open()) {
         return;
     }
-    wire_writer w;
-    w.u32(static_cast<std::uint32_t>(payload.size())).u8(static_cast<std::uint8_t>(type)).u64(stream);
-    w.tail(payload);
-    send(w.take());
+    auto bytes = write_header(type, stream, payload.size());
+    bytes += payload;
+    send(std::move(bytes));
 }
 
 void peer_link::send_large_frame(frame_type type, stream_id stream, std::string payload)
@@ -96,9 +102,7 @@
         send_frame(type, stream, payload);
         return;
     }
-    wire_writer w;
-    w.u32(static_cast<std::uint32_t>(payload.size())).u8(static_cast<std::uint8_t>(type)).u64(stream);
-    send(w.take());
+    send(write_header(type, stream, payload.size()));
     send(std::move(payload));
 }
 
--- a/src/quota/rate_limiter.cpp
+++ b/src/quota/rate_limiter.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace wagtailhatch {
 namespace {
