--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -47,6 +47,14 @@
     }
 }
 
+/// What was sent, answered and run so far.
+void record_totals(deployment& d, const totals& t)
+{
+    d.record("so far: orders sent " + std::to_string(t.sent) + ", answered 200 " +
+             std::to_string(t.answered_ok) + ", refused as not run " + std::to_string(t.answered_refused) +
+             ", answered otherwise " + std::to_string(t.other) + ", runs " + std::to_string(d.runs.size()));
+}
+
 awaitable<int> play(deployment& d)
 {
     totals t;
@@ -57,6 +65,9 @@
         const int machine = 1 + static_cast<int>(d.unit() * static_cast<double>(d.servers.size()));
         in_trouble = d.trouble && (clock::now() - begin) % round_time < trouble_time;
         asio::co_spawn(d.io, send_order(d, machine, t, answers), asio::detached);
+        if (i % static_cast<long>(orders_per_second) == 0) {
+            record_totals(d, t);
+        }
         co_await sleep_for(begin + std::chrono::microseconds{static_cast<long>(1e6 / orders_per_second)} * i -
                            clock::now());
     }
