--- a/review/harness-2/harness.cpp
+++ b/review/harness-2/harness.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iostream>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -454,6 +455,7 @@
 {
     const int pid = fork();
     if (pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // Nothing outlives this process, however it ends.
         const int out = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
         dup2(out, 1);
         dup2(out, 2);
