--- a/review/harness-2/harness.cpp
+++ b/review/harness-2/harness.cpp
@@ -354,8 +354,8 @@
     directory_ = argc > 1 ? argv[1] : ".";
     const char* t = std::getenv("TROUBLE");
     trouble = t == nullptr || std::string{t} != "0";
-    char name[] = "/tmp/review-2-XXXXXX";
-    temporary_ = mkdtemp(name);
+    auto name = (std::filesystem::temp_directory_path() / "review-2-XXXXXX").string();
+    temporary_ = mkdtemp(name.data());
     record_ = std::fopen((directory_ + "/record.txt").c_str(), "w");
     network_ = "127." + std::to_string(1 + random() % 250) + "." + std::to_string(1 + random() % 250) + ".";
     id_prefix_ = std::to_string(random() % 1000000);
