--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,5 +7,5 @@
 cp target/standin-platform target/review-2/
 for main in review/*/case.cpp; do
   name=$(basename "$(dirname "$main")")
-  g++ -std=c++20 -O1 -pthread -I review/harness-2 -o "target/review-2/case-$name" "$main" review/harness-2/harness.cpp
+  g++ -std=c++20 -O1 -pthread -I review/6 -o "target/review-2/case-$name" "$main" review/6/harness.cpp
 done
