--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,137 +1,171 @@
-// Case 9: one tenant sends many times its usual while answers of two of three servers are lost, so that
-// requests end at their route's time-out after they have run.
+// The weights of a route change while one tenant is at its limit. Checked is CONFIG: no request that was sent
+// later than ConfigApplyS after a version's acknowledgement is run by a service that only an older version
+// allows.
+#include "../7/stand_ins.h"
 
-#include "harness.h"
-
-#include <algorithm>
-#include <cstdlib>
-#include <iostream>
+using namespace rv;
 
 namespace {
 
-using namespace review;
+constexpr double config_apply_s = 2;
+constexpr double pause_s = 6; // Between two versions.
+constexpr int versions = 14;
 
-constexpr double rate = 200;
-constexpr double burst = 60;
-constexpr double usual_per_second = rate / 1.6;
-constexpr double hot_factor = 2.5; // hot_tenant: x = 8, for_s = 9.
-constexpr double lost_share = 0.3; // answer_lost: share = 0.6, x = 0.3, for_s = 6.
-constexpr auto hot_time = 9s;
-constexpr auto lost_time = 6s;
-constexpr auto usual_work = 220ms;
-constexpr double quota_window = 5;
-constexpr double allowed = (rate * quota_window + burst) * 1.1 + 20;
+struct sent_request {
+    double at = 0;
+};
+std::mutex mutex;
+std::map<std::string, double> sent; // Id of a request, and when it was sent.
+struct run {
+    std::string id, service;
+    double at = 0;
+};
+std::vector<run> runs;
 
-std::string lookup(const deployment& d, const std::string& id)
+void serve(conn& c, const message& m, server& s)
 {
-    header_map headers;
-    headers["X-Wagtailhatch-Hatch-Request-Id"] = id;
-    headers["X-Wagtailhatch-Hatch-Deadline-Ms"] = "6000";
-    headers["Authorization"] = "Bearer key-of-a";
-    return make_request("GET", d.host(), "/status/a", headers, {});
+    const auto id = m.field("X-Wagtailhatch-Hatch-Request-Id");
+    {
+        const std::lock_guard lock{mutex};
+        runs.push_back({id, s.service(), now()});
+    }
+    sleep_s(0.02);
+    c.send(s.success(m, "run by " + s.service()));
 }
 
-struct totals {
-    std::map<std::string, clock::time_point> sent;
-    std::map<int, long> statuses;
-};
-
-awaitable<void> send_lookup(deployment& d, totals& t, int machine)
+/// The parts of the route in a version: the last version that named `old` is left for `old` and `new` in
+/// turn.
+std::vector<std::pair<std::string, double>> parts_of(int version)
 {
-    const auto id = d.next_id();
-    t.sent[id] = clock::now();
-    const auto bytes = lookup(d, id);
-    const auto m = co_await send_once(d.ip(machine), deployment::outbound, bytes, 6s);
-    ++t.statuses[m.status];
+    return version % 2 == 1 ? std::vector<std::pair<std::string, double>>{{"alpha", 50}, {"beta", 50}}
+                            : std::vector<std::pair<std::string, double>>{{"gamma", 50}, {"beta", 50}};
 }
 
-awaitable<void> load(deployment& d, totals& t, double per_second, clock::duration length)
+bool allowed(int version, const std::string& service)
 {
-    const auto begin = clock::now();
-    for (long i = 0; clock::now() < begin + length; ++i) {
-        const int machine = 1 + static_cast<int>(d.unit() * static_cast<double>(d.servers.size()));
-        asio::co_spawn(d.io, send_lookup(d, t, machine), asio::detached);
-        co_await sleep_for(begin + std::chrono::microseconds{static_cast<long>(1e6 / per_second)} * i -
-                           clock::now());
-    }
+    const auto parts = parts_of(version);
+    return std::any_of(parts.begin(), parts.end(), [&](const auto& p) { return p.first == service; });
 }
 
-/// Most requests that were both sent and run within one window, and where it begins.
-std::pair<long, double> most_in_window(const deployment& d, const totals& t, clock::time_point begin)
+} // namespace
+
+int main()
 {
-    std::vector<double> sent_at;
-    std::vector<std::pair<double, double>> all;
-    for (const auto& r : d.runs) {
-        const double s = std::chrono::duration<double>(t.sent.at(r.id) - begin).count();
-        all.emplace_back(s, std::chrono::duration<double>(r.at - begin).count());
-        sent_at.push_back(s);
+    prepare("config");
+    store platform{network + ".250", port.base};
+    const std::vector<tenant> tenants{{"shop", "key-of-the-shop", 60, 10}};
+    const auto document = [&](int version) {
+        return configuration(static_cast<unsigned>(version),
+                             {{"lookup", "/lookup/", "idempotent", 5, 1.2, 2, parts_of(version)}},
+                             {"alpha", "beta", "gamma"}, tenants);
+    };
+    const std::vector<std::string> services{"alpha", "beta", "gamma"};
+    std::vector<std::pair<int, double>> acknowledged; // Version and when it was acknowledged.
+    platform.put("op", "config", document(1));
+    acknowledged.emplace_back(1, now());
+    std::vector<std::unique_ptr<node>> nodes;
+    std::vector<std::unique_ptr<server>> servers;
+    for (int i = 1; i <= 3; ++i) {
+        const auto zone = i == 3 ? "south" : "north";
+        nodes.push_back(std::make_unique<node>(i, services.at(i - 1), zone));
+        nodes.back()->start();
+        servers.push_back(std::make_unique<server>(i, services.at(i - 1), zone, 100, serve));
+        servers.back()->start_heartbeats();
     }
-    std::pair<long, double> most{0, 0};
-    for (const double from : sent_at) {
-        const auto n = std::count_if(all.begin(), all.end(), [&](const auto& r) {
-            return r.first >= from && r.second < from + quota_window;
-        });
-        most = std::max(most, {static_cast<long>(n), from});
+    for (const auto& n : nodes) {
+        if (!n->wait_ready(15)) {
+            std::puts("a node does not become ready");
+            nodes.clear();
+            finish(2);
+        }
     }
-    return most;
-}
+    sleep_s(3);
 
-awaitable<void> lose_answers(deployment& d)
-{
-    co_await sleep_for(1s);
-    if (!d.trouble) {
-        co_return;
+    // The tenant asks for half more than its rate, at all machines.
+    std::atomic<bool> stop{false};
+    std::atomic<int> last_id{0};
+    std::vector<std::thread> clients;
+    std::map<int, int> statuses;
+    constexpr double per_second = 90;
+    constexpr int threads = 30;
+    for (int i = 0; i < threads; ++i) {
+        clients.emplace_back([&, i] {
+            std::mt19937 random(static_cast<unsigned>(i));
+            std::exponential_distribution<double> wait{per_second / threads};
+            const int machine = i % 3 + 1;
+            while (!stop) {
+                sleep_s(wait(random));
+                const auto id = "r" + std::to_string(++last_id);
+                conn c{conn::dial(ip_of(machine), port.outbound())};
+                const double at = now();
+                {
+                    const std::lock_guard lock{mutex};
+                    sent[id] = at;
+                }
+                c.send(client_request("GET", "/lookup/" + id, id, tenants.front().key, 5000));
+                const auto answer = c.read(now() + 5);
+                rec("%s sent at %.3f to machine %d: %d %s", id.c_str(), at, machine, answer.status(),
+                    answer.body.c_str());
+                const std::lock_guard lock{mutex};
+                ++statuses[answer.status()];
+            }
+        });
     }
-    d.record("two of three servers lose answers");
-    for (std::size_t i = 0; i < 2; ++i) {
-        d.servers.at(i)->loses_answer = [&d](const server::work&) { return d.unit() < lost_share; };
+    sleep_s(4);
+    for (int version = 2; version <= versions && trouble(); ++version) {
+        platform.put("op", "config", document(version));
+        acknowledged.emplace_back(version, now());
+        rec("version %d is acknowledged: the route goes to %s and beta", version,
+            parts_of(version).front().first.c_str());
+        sleep_s(pause_s);
     }
-    co_await sleep_for(lost_time);
-    for (std::size_t i = 0; i < 2; ++i) {
-        d.servers.at(i)->loses_answer = [](const server::work&) { return false; };
+    if (!trouble()) {
+        sleep_s(20);
+    }
+    stop = true;
+    for (auto& c : clients) {
+        c.join();
     }
-    d.record("no answers are lost any more");
-}
 
-awaitable<int> play(deployment& d)
-{
-    totals t;
-    const auto begin = clock::now();
-    co_await load(d, t, usual_per_second, 4s);
-    const auto usual_runs = d.runs.size();
-    d.record("the tenant sends 8 times its usual");
-    asio::co_spawn(d.io, lose_answers(d), asio::detached);
-    co_await load(d, t, usual_per_second * hot_factor, hot_time);
-    co_await sleep_for(3s);
-    for (const auto& r : d.runs) {
-        d.record("run " + r.id + " at " + r.server + ", tenant " + r.tenant + ", at " +
-                 std::to_string(std::chrono::duration<double>(r.at - begin).count()));
+    int wrong = 0;
+    std::map<int, std::pair<int, int>> by_version;
+    for (const auto& r : runs) {
+        const double at = sent.at(r.id);
+        // The newest version that binds the request, and any that may be in force later.
+        std::size_t bound = 0;
+        for (std::size_t i = 0; i < acknowledged.size(); ++i) {
+            bound = acknowledged[i].second + config_apply_s < at ? i : bound;
+        }
+        bool fits = false;
+        for (std::size_t i = bound; i < acknowledged.size() && acknowledged[i].second <= r.at; ++i) {
+            fits = fits || allowed(acknowledged[i].first, r.service);
+        }
+        const bool judged = at > acknowledged[bound].second + config_apply_s;
+        auto& [total, bad] = by_version[acknowledged[bound].first];
+        total += judged ? 1 : 0;
+        if (!fits) {
+            ++wrong;
+            ++bad;
+            rec("BROKEN: %s, sent %.3f s after version %d was acknowledged, is run by %s", r.id.c_str(),
+                at - acknowledged[bound].second, acknowledged[bound].first, r.service.c_str());
+        }
     }
-    const auto [most, from] = most_in_window(d, t, begin);
-    std::string line = "answers";
-    for (const auto& [status, n] : t.statuses) {
-        line += " " + std::to_string(status) + ":" + std::to_string(n);
+    for (const auto& [version, count] : by_version) {
+        rec("version %d: %d requests sent later than %.0f s after it, %d of them run by a service of an "
+            "older version",
+            version, count.first, config_apply_s, count.second);
+        std::printf("version %d: %d requests, %d run by the old service\n", version, count.first,
+                    count.second);
     }
-    line += "; sent and run in 5 s from " + std::to_string(from) + ": " + std::to_string(most) +
-            ", allowed " + std::to_string(static_cast<long>(allowed));
-    d.record(line);
-    std::cout << line << '\n';
-    if (usual_runs < 100) {
-        co_return exit_not_run;
+    for (const auto& [status, count] : statuses) {
+        std::printf("status %d: %d\n", status, count);
     }
-    co_return static_cast<double>(most) > allowed ? exit_broken : exit_held;
-}
-
-} // namespace
-
-int main(int argc, char** argv)
-{
-    deployment d{argc, argv};
-    d.routes = {{"status", "/status/", "idempotent", "lupatila", 1.2, 2.0, 2, 2, false}};
-    d.tenants = {{"tenant-a", "key-of-a", rate, burst}};
-    for (int i = 0; i < 3; ++i) {
-        auto& s = d.add_server("lupatila", 72);
-        s.work_time = [](const server::work&) { return usual_work; };
+    bool all_run = true;
+    for (const auto& n : nodes) {
+        all_run = n->runs() && all_run;
     }
-    return d.run([&]() { return play(d); });
+    std::printf("CONFIG %s: %d requests of %zu\n", wrong > 0 ? "broken" : "held", wrong, runs.size());
+    rec("CONFIG %s: %d requests of %zu", wrong > 0 ? "broken" : "held", wrong, runs.size());
+    nodes.clear();
+    finish(!all_run || runs.empty() ? 2 : wrong > 0 ? 1 : 0);
 }
