--- a/review/6/harness.cpp
+++ b/review/6/harness.cpp
@@ -402,7 +402,7 @@
 
 std::string deployment::config_document() const
 {
-    using nlohmann::json;
+    using json = nlohmann::json;
     json rows = json::array();
     for (const auto& r : routes) {
         rows.push_back({r.name, host(), r.prefix, r.kind, r.timeout_s, r.target_latency_s, r.priority,
