Test the deadline of each path that a stopping node admits

No fault was found, so nothing but tests changes: the calls of other nodes and those of the own target, which were not covered, get a test each.

--- a/tests/node/entry_call_test.cpp
+++ b/tests/node/entry_call_test.cpp
@@ -198,6 +198,22 @@
     CHECK(f.dispatcher.sent.size() == 1);
 }
 
+// A target makes calls while its node stops. Guards against refusing them: the request that they belong to
+// was taken on earlier and would fail for want of them.
+TEST_CASE("calls of a running request are passed on while the node stops")
+{
+    entry_fixture f;
+    f.add_target("a", member_state::ready, overloaded(100ms));
+    f.dispatcher.latest_deadline = f.time.now() + 500ms;
+    f.dispatcher.parent.id = "p";
+    f.codec.parent = "p";
+    f.request();
+    CHECK(f.dispatcher.sent.size() == 1);
+    f.codec.parent = "unknown";
+    f.request();
+    CHECK(f.dispatcher.sent.size() == 1);
+}
+
 // Guards against requests that are refused, sent from one evacuated target to the next or charged to the
 // retry budget while this node has not heard of the evacuation yet: the nodes of the targets tell it.
 TEST_CASE("a request refused by an evacuated data centre is tried at another one at once")
--- a/tests/node/traffic_plane_test.cpp
+++ b/tests/node/traffic_plane_test.cpp
@@ -112,12 +112,12 @@
         return false;
     }
 
-    call_failure result_of_call(const allowed_regions& regions)
+    call_failure result_of_call(const allowed_regions& regions, duration time_left = 10s)
     {
         service_call call;
         call.id = "r";
         call.service = "s";
-        call.deadline = time.now() + 10s;
+        call.deadline = time.now() + time_left;
         call.soft_deadline = call.deadline;
         call.regions = regions;
         write(frame_type::call, 1, encode(call, time.now()));
@@ -204,3 +204,22 @@
     CHECK_FALSE(failure.may_have_run);
     CHECK(f.result_of_call(allowed_regions{{"eu"}}).reason != refusal_reason::outside_regions);
 }
+
+// Guards against a stopping node that passes on the calls of other nodes and breaks them off when it exits
+// (LOST): each call counts with its own deadline, whenever it was sent.
+TEST_CASE("a stopping node takes only those calls of its peers that end before it")
+{
+    plane_fixture f;
+    f.connect({});
+    f.plane->drain([] {});
+    const auto begun = f.time.now();
+    const auto leaving_at = [&](duration since, duration time_left) {
+        f.time.set(begun + since);
+        return f.result_of_call({}, time_left).reason == refusal_reason::leaving;
+    };
+    CHECK_FALSE(leaving_at(2500ms, 10s));
+    CHECK_FALSE(leaving_at(2600ms, 2400ms));
+    CHECK(leaving_at(2600ms, 2500ms));
+    CHECK_FALSE(leaving_at(4s, 1s));
+    CHECK(leaving_at(4s, 1100ms));
+}
