Confirm announcements by a health check after a node's restart

Cause: target_tracker knows the order of a target's messages from memory alone. A new process took the first announcement of any age for the target's state.

Announcements of an unknown incarnation are kept aside for 10 s after the node's start until a health check finds that incarnation healthy. The answer is newer than every acknowledgement of an earlier process. A target whose checks fail counts again after that time.

Related paths: leaving by response and by DELETE (property test over restarts); a target found by a health check that leaves without naming its start time (same_incarnation).

--- a/include/membership/target_tracker.h
+++ b/include/membership/target_tracker.h
@@ -27,14 +27,20 @@
     applied,
     stale,   ///< A later announcement, or one of a later incarnation, was already received.
     foreign, ///< Concerns a target of another service or address.
+    /// May be older than this node and thus than a leave that an earlier process of it has acknowledged. It
+    /// takes effect once a health check confirms it.
+    unconfirmed,
 };
 
 /// Tracks the state of the target beside a node from its announcements, which may arrive late and in any
 /// order. After an incarnation has announced that it leaves, no later message of it makes it available again.
-/// Not thread-safe.
+/// This also holds across a restart of the node, which forgets what was acknowledged: until no announcement
+/// from before the restart can be on its way any more, one that tells of an available target needs a health
+/// check that confirms it. Not thread-safe.
 class target_tracker {
 public:
-    target_tracker(std::string service, std::string address);
+    /// started: when this node's process started.
+    target_tracker(std::string service, std::string address, steady_time started);
 
     /// Applies an announcement; changes the state only if it returns `applied`.
     announcement_result on_announcement(const target_announcement& a, steady_time now);
@@ -48,18 +54,34 @@
     /// changes nothing, unless it is the current target and was available.
     announcement_result on_leaving_response(const std::string& id);
 
-    /// Records an answered health check. Has effect only while the phase is unknown, that is before any
-    /// announcement since this node started. cold_left: as in an announcement.
+    /// Whether an announcement waits for a health check that confirms it.
+    bool has_unconfirmed(steady_time now) const;
+
+    /// Whether a health check of the target can tell its state.
+    bool needs_probe(steady_time now) const
+    {
+        return state_.phase == target_phase::unknown || has_unconfirmed(now);
+    }
+
+    /// Records a health check in which the target with this id has declared itself healthy. Has effect only
+    /// if needs_probe(), that is before any announcement since this node started, or on an unconfirmed
+    /// announcement of that target. cold_left: as in an announcement.
     void on_probe(const std::string& id, std::uint32_t slots, std::optional<duration> cold_left,
                   steady_time now);
 
     const target_state& state() const { return state_; }
 
 private:
+    /// Whether the announcement is from the incarnation known last. One that was found by a health check has
+    /// no known start time yet.
+    bool same_incarnation(const target_announcement& a) const;
+    void apply(const target_announcement& a, steady_time now);
     void record_cold_start(std::optional<duration> cold_left, steady_time now);
 
     std::string service_;
     std::string address_;
+    steady_time started_;
+    std::optional<target_announcement> unconfirmed_; ///< The newest unconfirmed announcement.
     target_state state_;
     std::uint64_t start_time_ms_ = 0;
     std::uint64_t sequence_ = 0;
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -19,6 +19,12 @@
 
 constexpr duration refused_log_interval = 10s;
 constexpr auto probe_timeout = 500ms;
+constexpr duration probe_retry_delay = 300ms;
+
+void respond_acknowledged(http_exchange& exchange)
+{
+    exchange.respond({http_status::ok, {{"Content-Type", "application/json"}}, "{}"});
+}
 
 } // namespace
 
@@ -30,7 +36,8 @@
     , stats_{stats}
     , events_{std::move(events)}
     , evacuation_{platform::parse_evacuation_row}
-    , target_{settings_.service, settings_.target}
+    , target_{settings_.service, settings_.target, time_.now()}
+    , probe_timer_{io}
 {
 }
 
@@ -183,41 +190,61 @@
         exchange->respond({http_status::bad_request, {}, {}});
         return;
     }
+    if (outcome == announcement_result::unconfirmed) {
+        log(log_level::info, "announcement to be confirmed",
+            {{"target", id}, {"sequence", announcement->sequence}});
+        respond_acknowledged(*exchange);
+        probe_target();
+        return;
+    }
     apply_target(exchange);
 }
 
 void control_plane::apply_target(const std::shared_ptr<http_exchange>& exchange)
 {
     // The target relies on the acknowledgement, so the state must be in effect before it is sent.
-    events_.target(target_.state(), [exchange] {
-        exchange->respond({http_status::ok, {{"Content-Type", "application/json"}}, "{}"});
-    });
+    events_.target(target_.state(), [exchange] { respond_acknowledged(*exchange); });
 }
 
 void control_plane::probe_target()
 {
-    if (std::exchange(probed_, true) || target_.state().phase != target_phase::unknown) {
+    if (probing_ || config_->version() == 0 || !target_.needs_probe(time_.now())) {
         return;
     }
-    // After a restart of this node the target may already be running. A health check detects it before its
-    // next announcement.
+    probing_ = true;
     http_call call;
     call.address = settings_.target;
     call.request.method = "GET";
     call.request.target = health_path_.empty() ? "/healthz" : health_path_;
     call.timeout = probe_timeout;
     http_->start(std::move(call), [this](const http_result& r) {
-        if (!r.ok || r.response.status != http_status::ok || target_.state().phase != target_phase::unknown) {
-            return;
-        }
-        const auto* id = find_header(r.response.headers, platform::instance_header);
-        if (id == nullptr) {
-            return;
-        }
-        const auto metadata = platform::wire_header_codec{}.read_response(r.response);
-        target_.on_probe(*id, metadata.slots.value_or(0), metadata.cold_left, time_.now());
+        probing_ = false;
+        on_probe_result(r);
+    });
+}
+
+void control_plane::on_probe_result(const http_result& result)
+{
+    const auto now = time_.now();
+    const auto* id = find_header(result.response.headers, platform::instance_header);
+    const bool healthy = result.ok && result.response.status == http_status::ok && id != nullptr;
+    if (healthy && target_.needs_probe(now)) {
+        const auto metadata = platform::wire_header_codec{}.read_response(result.response);
+        target_.on_probe(*id, metadata.slots.value_or(0), metadata.cold_left, now);
         log(log_level::info, "target probed", {{"target", *id}, {"slots", metadata.slots.value_or(0)}});
         events_.target(target_.state(), [] {});
+        return;
+    }
+    if (!target_.has_unconfirmed(now)) {
+        return;
+    }
+    log(log_level::info, "target not confirmed",
+        {{"answered", result.ok}, {"status", result.ok ? result.response.status : 0}});
+    probe_timer_.expires_after(probe_retry_delay);
+    probe_timer_.async_wait([this](const std::error_code& ec) {
+        if (!ec) {
+            probe_target();
+        }
     });
 }
 
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -89,7 +89,10 @@
     void announce(const std::shared_ptr<http_exchange>& exchange, const std::string& id);
     void apply_target(const std::shared_ptr<http_exchange>& exchange);
     void count_refused(const std::string& why);
+    /// Asks the target for its health if its state is not known for certain. Repeats this while an
+    /// announcement waits for it.
     void probe_target();
+    void on_probe_result(const http_result& result);
 
     asio::io_context& io_;
     const clock& time_;
@@ -105,7 +108,8 @@
     std::vector<std::unique_ptr<http_server>> servers_;
     target_tracker target_;
     std::string health_path_;
-    bool probed_ = false;
+    asio::steady_timer probe_timer_;
+    bool probing_ = false;
     bool stopping_ = false;
     bool rates_known_ = false;
     std::uint64_t refused_calls_ = 0; ///< Malformed or unknown control calls, and those of foreign targets.
--- a/tests/membership/target_tracker_test.cpp
+++ b/tests/membership/target_tracker_test.cpp
@@ -16,9 +16,15 @@
     return {id, "labels", "10.0.0.1:80", "north", 12, draining, {}, sequence, start_time_ms};
 }
 
+/// Of a node that started long ago.
 target_tracker make_tracker()
 {
-    return {"labels", "10.0.0.1:80"};
+    return {"labels", "10.0.0.1:80", now - 1h};
+}
+
+target_tracker make_restarted_tracker(steady_time started = now)
+{
+    return {"labels", "10.0.0.1:80", started};
 }
 
 } // namespace
@@ -152,3 +158,85 @@
     t.on_announcement(announcement("a", 200, 1), now);
     CHECK(t.state().phase == target_phase::ready);
 }
+
+// A node restarts after it has acknowledged that its target leaves, and an earlier announcement arrives late.
+// Guards against sending work to that target again (DRAIN).
+TEST_CASE("after a restart an announcement counts once a health check confirms it")
+{
+    auto t = make_restarted_tracker();
+    CHECK(t.on_announcement(announcement("a", 100, 5), now + 1s) == announcement_result::unconfirmed);
+    CHECK(t.state().phase == target_phase::unknown);
+    CHECK(t.needs_probe(now + 1s));
+    CHECK(t.has_unconfirmed(now + 1s));
+    t.on_probe("a", 7, std::nullopt, now + 1s);
+    CHECK(t.state().phase == target_phase::ready);
+    CHECK(t.state().slots == 12);
+    CHECK_FALSE(t.has_unconfirmed(now + 1s));
+    CHECK(t.on_announcement(announcement("a", 100, 6), now + 2s) == announcement_result::applied);
+}
+
+// Guards against a target that says it leaves and gets work, and against a health check of another
+// incarnation that confirms it.
+TEST_CASE("only the incarnation that a health check has found is confirmed")
+{
+    auto t = make_restarted_tracker();
+    t.on_announcement(announcement("a", 100, 5), now + 1s);
+    CHECK(t.on_leave("a", 100) == announcement_result::applied);
+    t.on_probe("a", 7, std::nullopt, now + 1s);
+    CHECK(t.state().phase == target_phase::gone);
+    t.on_announcement(announcement("b", 200, 1), now + 2s);
+    CHECK(t.state().phase == target_phase::gone);
+    t.on_probe("b", 7, std::nullopt, now + 2s);
+    CHECK(t.state().phase == target_phase::ready);
+    t.on_announcement(announcement("c", 300, 1), now + 3s);
+    t.on_probe("b", 7, std::nullopt, now + 3s);
+    CHECK(t.state().id == "b");
+    CHECK_FALSE(t.has_unconfirmed(now + 3s));
+    CHECK(t.on_announcement(announcement("b", 200, 2, true), now + 4s) == announcement_result::applied);
+    CHECK(t.state().phase == target_phase::draining);
+}
+
+// Guards against a target that stays unused because its health checks fail or get no answer.
+TEST_CASE("announcements count by themselves once none from before the restart can arrive")
+{
+    auto t = make_restarted_tracker();
+    CHECK(t.on_announcement(announcement("a", 100, 5), now + 9s) == announcement_result::unconfirmed);
+    CHECK_FALSE(t.has_unconfirmed(now + 10s));
+    CHECK(t.on_announcement(announcement("a", 100, 6), now + 10s) == announcement_result::applied);
+    CHECK(t.state().phase == target_phase::ready);
+}
+
+// Guards against any series of restarts and late announcements after which a target that has left gets work.
+TEST_CASE("no order of restarts and late announcements revives an incarnation that left")
+{
+    rc::prop("any order", [](const std::vector<std::uint8_t>& events) {
+        auto at = now;
+        auto t = make_restarted_tracker(at);
+        std::uint64_t newest_left = 0;
+        for (const auto e : events) {
+            const std::uint64_t start_time_ms = 1 + e % 4;
+            const auto id = "t" + std::to_string(start_time_ms);
+            at += 1ms;
+            switch (e % 5) {
+            case 0:
+                if (t.on_leave(id, start_time_ms) == announcement_result::applied) {
+                    newest_left = std::max(newest_left, start_time_ms);
+                }
+                break;
+            case 1:
+                t = make_restarted_tracker(at);
+                break;
+            case 2:
+                if (start_time_ms > newest_left) {
+                    t.on_probe(id, 7, std::nullopt, at);
+                }
+                break;
+            default:
+                t.on_announcement(announcement(id, start_time_ms, e), at);
+            }
+            if (t.state().phase == target_phase::ready) {
+                RC_ASSERT(t.state().id > "t" + std::to_string(newest_left));
+            }
+        }
+    });
+}
