Tell the attempts of a request apart by their connection

Cause: dispatched_call matches responses by the request's id, which all attempts of a request share, and target_pool reuses the connection that was used last.

A connection now remembers the requests that did not succeed on it, and the pool sends their next attempts on another one. A copy arrives on the connection of the attempt that it answers, so it can no longer be confused. The memory is bounded: after 64 such requests a connection is not reused.

Related paths: 421, 429 and 5xx take the same rule; refusals without an id were disbelieved already; calls between nodes carry a stream id for each attempt.

--- a/include/http/http_status.h
+++ b/include/http/http_status.h
@@ -16,4 +16,10 @@
 constexpr int unavailable = 503;
 constexpr int gateway_timeout = 504;
 
+/// Whether the status is of the 2xx class.
+constexpr bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 } // namespace wagtailhatch::http_status
--- a/src/call/dispatched_call.cpp
+++ b/src/call/dispatched_call.cpp
@@ -5,6 +5,8 @@
 #include "src/call/target_dispatcher.h"
 #include "src/http1/message_format.h"
 
+#include <xxhash.h>
+
 #include <utility>
 
 namespace wagtailhatch {
@@ -19,11 +21,6 @@
 // Targets stop working on a request at its deadline; the response may arrive this much later.
 constexpr duration abandoned_grace = 500ms;
 
-bool is_success(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 } // namespace
 
 dispatched_call::dispatched_call(target_dispatcher& dispatcher, std::uint64_t admission_id, service_call call,
@@ -57,6 +54,7 @@
     outgoing.bytes = format_request_head(request, request.body.size());
     outgoing.head_only = request.method == "HEAD";
     outgoing.repeatable = call_.idempotent;
+    outgoing.key = XXH64(call_.id.data(), call_.id.size(), 0);
     outgoing.body = std::move(request.body);
     connection_ = dispatcher_.pool_.start(std::move(outgoing), shared_from_this());
 }
@@ -78,7 +76,7 @@
         // Every success response of a target contains the id of its request. Without an id, a refusal on a
         // reused connection may repeat that of an earlier request and proves nothing about this one.
         const bool refusal = metadata.not_executed || head.status == http_status::misdirected_request;
-        return !is_success(head.status) && !(refusal && reused);
+        return !http_status::is_success(head.status) && !(refusal && reused);
     }
     return metadata.id == call_.id;
 }
@@ -215,7 +213,7 @@
         fail_rejected();
         return;
     }
-    if ((is_success(response_.status) && !signed_by_target_) || encoded_) {
+    if ((http_status::is_success(response_.status) && !signed_by_target_) || encoded_) {
         fail(refusal_reason::malformed, true, true);
         return;
     }
--- a/src/http1/target_connection.cpp
+++ b/src/http1/target_connection.cpp
@@ -1,11 +1,13 @@
 #include "src/http1/target_connection.h"
 
+#include "include/http/http_status.h"
 #include "src/http1/message_format.h"
 #include "src/http1/socket_options.h"
 
 #include <asio/error.hpp>
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -24,6 +26,8 @@
 // Larger request bodies are written apart from their head: a second write costs less than a copy.
 constexpr std::size_t max_joined_body = std::size_t{16} << 10;
 constexpr duration default_idle_limit = 4s;
+// Limits the memory for keys of one connection; a connection that has reached it is not reused.
+constexpr std::size_t max_unsuccessful = 64;
 // The target closes idle connections by its own clock; no request may be in transit when it does.
 constexpr duration reuse_margin = 700ms;
 
@@ -65,6 +69,7 @@
 {
     events_ = std::move(events);
     head_request_ = request.head_only;
+    key_ = request.key;
     delivered_ = 0;
     overhead_ = 0;
     parser_.reset(head_request_);
@@ -162,9 +167,23 @@
     if (!head.keep_alive || unsent() > 0) {
         reusable_ = false;
     }
+    if (!http_status::is_success(head.status)) {
+        record_unsuccessful();
+    }
     events_->on_response_head(std::move(head));
 }
 
+bool target_connection::may_carry(std::uint64_t key) const
+{
+    return std::find(unsuccessful_.begin(), unsuccessful_.end(), key) == unsuccessful_.end();
+}
+
+void target_connection::record_unsuccessful()
+{
+    unsuccessful_.push_back(key_);
+    reusable_ = reusable_ && unsuccessful_.size() < max_unsuccessful;
+}
+
 void target_connection::apply_keep_alive_timeout(const message_head& head)
 {
     const auto* header = find_header(head.headers, "Keep-Alive");
--- a/src/http1/target_connection.h
+++ b/src/http1/target_connection.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace wagtailhatch {
 
@@ -42,6 +43,8 @@
     bool head_only = false; ///< A HEAD request: the response has no body.
     bool repeatable = true; ///< If false, only very recently used connections are reused.
     std::string body{};     ///< Kept apart from the head, so that a large body is not copied.
+    /// Equal for all attempts of one request, whose responses cannot be told apart.
+    std::uint64_t key = 0;
 };
 
 class target_connection;
@@ -75,6 +78,10 @@
     void cancel();
 
     bool idle() const { return is_open() && !events_ && reusable_; }
+
+    /// Whether an attempt of the request with this key may be sent: false if the connection carried an
+    /// earlier one that did not succeed, because a late copy of that response would be taken for the answer.
+    bool may_carry(std::uint64_t key) const;
     steady_time idle_since() const { return idle_since_; }
 
     /// How long the connection may stay idle and still be reused, from the target's `Keep-Alive` header if
@@ -92,6 +99,7 @@
     void fail(target_failure failure);
     void end();
     void apply_keep_alive_timeout(const message_head& head);
+    void record_unsuccessful();
     /// Whether more bytes outside the response body arrived than any correct target sends.
     bool exceeds_overhead_limit() const;
 
@@ -101,8 +109,10 @@
     std::shared_ptr<target_events> events_;
     steady_time idle_since_{};
     duration idle_limit_{};
-    std::size_t delivered_ = 0; ///< Body bytes passed on in this exchange.
-    std::size_t overhead_ = 0;  ///< Other bytes read in this exchange.
+    std::uint64_t key_ = 0;                   ///< Of the exchange in progress.
+    std::vector<std::uint64_t> unsuccessful_; ///< Keys of earlier exchanges that ended without success.
+    std::size_t delivered_ = 0;               ///< Body bytes passed on in this exchange.
+    std::size_t overhead_ = 0;                ///< Other bytes read in this exchange.
     bool head_request_ = false;
     bool connecting_ = false;
     bool skipping_ = false; ///< The response being read belongs to an earlier request.
--- a/src/http1/target_pool.cpp
+++ b/src/http1/target_pool.cpp
@@ -30,21 +30,24 @@
     }
 }
 
-std::shared_ptr<target_connection> target_pool::take_idle(bool repeatable)
+std::shared_ptr<target_connection> target_pool::take_idle(const target_request& request)
 {
     const auto now = time_.now();
-    while (!idle_.empty()) {
-        auto* last = idle_.back();
-        const auto age = now - last->idle_since();
-        if (age < last->idle_limit() && last->idle()) {
-            if (!repeatable && age > max_idle_for_unrepeatable) {
-                return nullptr;
-            }
-            idle_.pop_back();
-            return connections_.at(last);
+    for (auto i = idle_.size(); i-- > 0;) {
+        const auto candidate = connections_.at(idle_[i]);
+        const auto age = now - candidate->idle_since();
+        if (age >= candidate->idle_limit() || !candidate->idle()) {
+            candidate->cancel(); // Removes it from idle_.
+            continue;
         }
-        idle_.pop_back();
-        connections_.at(last)->cancel();
+        if (!candidate->may_carry(request.key)) {
+            continue;
+        }
+        if (!request.repeatable && age > max_idle_for_unrepeatable) {
+            return nullptr;
+        }
+        idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(i));
+        return candidate;
     }
     return nullptr;
 }
@@ -52,7 +55,7 @@
 std::weak_ptr<target_connection> target_pool::start(target_request request,
                                                     std::shared_ptr<target_events> events)
 {
-    if (auto connection = take_idle(request.repeatable)) {
+    if (auto connection = take_idle(request)) {
         connection->exchange(std::move(request), std::move(events));
         return connection;
     }
--- a/src/http1/target_pool.h
+++ b/src/http1/target_pool.h
@@ -38,7 +38,7 @@
 private:
     void on_idle(target_connection& connection) override;
     void on_end(target_connection& connection) override;
-    std::shared_ptr<target_connection> take_idle(bool repeatable);
+    std::shared_ptr<target_connection> take_idle(const target_request& request);
 
     asio::io_context& io_;
     const clock& time_;
--- a/tests/call/target_dispatcher_test.cpp
+++ b/tests/call/target_dispatcher_test.cpp
@@ -468,6 +468,49 @@
     }
 }
 
+// A target rejects a request, gets it once more, and then writes the first refusal a second time. Guards
+// against counting the attempt in progress as not run on the word of a copy that bears the same id: an order
+// would be sent a third time and run twice (TWICE).
+TEST_CASE("a late copy of a refusal does not count for the next attempt of the same request")
+{
+    const std::vector<std::string> rejections{answer("a", "Not-Run: 1\r\n", "", 503),
+                                              answer("a", "", "", 421),
+                                              answer("a", "Not-Run: 1\r\n", "", 429)};
+    for (const auto& rejection : rejections) {
+        INFO(rejection);
+        std::size_t requests = 0;
+        fixture f{[&](std::size_t) {
+            const bool first_connection = f.server.connections() == 1;
+            ++requests;
+            return raw_server::action{first_connection ? rejection : answer("a", "Mark: 1\r\n", "ran")};
+        }};
+        const auto first = f.start("a", false);
+        REQUIRE(f.wait([&] { return first->over(); }));
+        CHECK_FALSE(first->failure->may_have_run);
+        const auto second = f.start("a", false);
+        REQUIRE(f.wait([&] { return second->over(); }));
+        CHECK(requests == 2);
+        REQUIRE(second->reply);
+        CHECK(second->reply->body == "ran");
+    }
+}
+
+// Guards against a new connection for each request after a refusal: connections to a target are costly.
+TEST_CASE("a connection that carried a refusal still serves other requests")
+{
+    std::size_t requests = 0;
+    fixture f{[&](std::size_t) {
+        const auto id = std::to_string(requests++);
+        return raw_server::action{answer(id, "Not-Run: 1\r\n", "", 503)};
+    }};
+    for (int i = 0; i < 3; ++i) {
+        const auto sink = f.start(std::to_string(i), false);
+        REQUIRE(f.wait([&] { return sink->over(); }));
+        CHECK_FALSE(sink->failure->may_have_run);
+    }
+    CHECK(f.server.connections() == 1);
+}
+
 // A target writes a refusal without an id. Guards against not believing it on a connection where it can only
 // belong to the one request: its caller would be told that the outcome is unknown.
 TEST_CASE("a refusal without an id counts for the first request of a connection")
--- a/tests/http1/target_pool_test.cpp
+++ b/tests/http1/target_pool_test.cpp
@@ -125,6 +125,39 @@
     }
 }
 
+// A target rejects every request. Guards against memory that grows with the rejections of a kept connection,
+// and against an attempt on a connection whose late bytes could be taken for its response.
+TEST_CASE("a connection is not used for a request that did not succeed on it, and ends after many of those")
+{
+    asio::io_context io{1};
+    const manual_clock time;
+    raw_server server{io, [](std::size_t) {
+                          return raw_server::action{"HTTP/1.1 503 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n"};
+                      }};
+    target_pool pool{io, time, *parse_address(server.address())};
+    const auto run = [&](std::uint64_t key) {
+        const auto seen = std::make_shared<response_recorder>();
+        target_request attempt{request};
+        attempt.key = key;
+        pool.start(std::move(attempt), seen);
+        REQUIRE(run_until(io, [&] { return seen->over(); }));
+        settle(io);
+        CHECK(seen->status == 503);
+        return server.connections();
+    };
+    CHECK(run(1) == 1);
+    CHECK(run(2) == 1);
+    CHECK(run(1) == 2);
+    // Most recently used first: the second connection has not carried this one.
+    CHECK(run(2) == 2);
+    CHECK(run(2) == 3);
+    for (std::uint64_t key = 10; key < 210; ++key) {
+        run(key);
+    }
+    CHECK(server.connections() <= 8);
+    CHECK(server.closed() >= 3);
+}
+
 // Guards against sending a request on a connection that the target is closing, in particular a request that
 // must not be retried.
 TEST_CASE("idle connections are reused only while the target keeps them open")
