Keep what is derived from a configuration with it

Cause: a request that waited for its rate while the configuration changed asked the router for the weighted split of its old route, and the router kept that under the route's name for all later requests.

Requests keep the one that they arrived under, so an old request has no way to a later one's state.

--- a/src/node/entry_call.cpp
+++ b/src/node/entry_call.cpp
@@ -53,7 +53,7 @@
 entry_call::entry_call(entry_router& router, std::shared_ptr<caller_exchange> exchange)
     : router_{router}
     , exchange_{std::move(exchange)}
-    , config_{router.config_}
+    , snapshot_{router.snapshot_}
     , deadline_timer_{router.io_}
     , arrived_{router.time_.now()}
 {
@@ -115,8 +115,7 @@
 {
     call_.origin = router_.settings_.service;
     call_.idempotent = route_->idempotent;
-    call_.service =
-        route_->services.size() == 1 ? route_->services.front().service : router_.split(*route_).next();
+    call_.service = snapshot_->next_service(*route_);
     call_.request = std::move(exchange_->request);
     call_.fingerprint = fingerprint_of(call_.request, call_.origin);
     auto& service = router_.service(call_.service);
@@ -148,14 +147,14 @@
 
 bool entry_call::authorize(const request_metadata& metadata)
 {
-    if (!config_) {
+    if (!snapshot_) {
         refuse(http_status::unavailable, refusal_reason::starting, 200ms);
         return false;
     }
     const auto& request = exchange_->request;
     const auto* host = find_header(request.headers, "Host");
-    route_ =
-        router_.routes_->find(host == nullptr ? std::string_view{} : *host, request.method, request.target);
+    route_ = snapshot_->routes().find(host == nullptr ? std::string_view{} : *host, request.method,
+                                      request.target);
     if (route_ == nullptr) {
         refuse(http_status::not_found, refusal_reason::unknown_route, {});
         return false;
@@ -172,7 +171,7 @@
         }
         return true;
     }
-    const auto match = router_.keys_->find(std::string_view{metadata.key});
+    const auto match = snapshot_->keys().find(std::string_view{metadata.key});
     if (match.status != key_status::valid) {
         refuse(http_status::unauthorized,
                metadata.has_key ? refusal_reason::unknown_key : refusal_reason::key_required, {});
@@ -515,7 +514,7 @@
          {"workspace", call_.workspace},
          {"after_ms", milliseconds_since_arrival()},
          {"arrivals", arrivals_},
-         {"config", config_ ? config_->version : 0}});
+         {"config", snapshot_ ? snapshot_->config().version : 0}});
     router_.stats_.refused(reason).add();
     if (charged_ && arrivals_ == 0) {
         router_.rates_.refund(call_.workspace, router_.time_.now_with_suspend());
--- a/src/node/entry_call.h
+++ b/src/node/entry_call.h
@@ -85,7 +85,7 @@
     std::shared_ptr<caller_exchange> exchange_;
     service_call call_;
     const route_config* route_ = nullptr;
-    std::shared_ptr<const configuration> config_; ///< Keeps route_ alive.
+    std::shared_ptr<routing_snapshot> snapshot_; ///< As of the arrival; keeps route_ alive.
     std::shared_ptr<call_handle> handle_;
     std::optional<http_response> fallback_; ///< Error response to return if no later attempt succeeds.
     std::optional<call_failure> refusal_;   ///< Refusal to report: quarantine, else the shortest retry delay.
--- a/src/node/entry_router.cpp
+++ b/src/node/entry_router.cpp
@@ -50,11 +50,8 @@
 
 void entry_router::set_configuration(std::shared_ptr<const configuration> config)
 {
-    config_ = std::move(config);
-    routes_ = std::make_unique<route_table>(config_);
-    keys_ = std::make_unique<key_index>(config_);
-    splits_.clear();
-    rates_.set_configuration(*config_, time_.now_with_suspend());
+    snapshot_ = std::make_shared<routing_snapshot>(std::move(config));
+    rates_.set_configuration(snapshot_->config(), time_.now_with_suspend());
     for (auto& [name, state] : services_) {
         apply_configuration(name, *state);
     }
@@ -83,17 +80,10 @@
 
 void entry_router::apply_configuration(std::string_view name, service_state& state) const
 {
-    const auto* service = config_ ? config_->find_service(name) : nullptr;
+    const auto* service = snapshot_ ? snapshot_->config().find_service(name) : nullptr;
     state.chains.set_variable_capacity(service != nullptr && service->cold_rate > 0);
 }
 
-weighted_split& entry_router::split(const route_config& route)
-{
-    const auto found = splits_.find(route.name);
-    return found != splits_.end() ? found->second
-                                  : splits_.emplace(route.name, weighted_split{route.services}).first->second;
-}
-
 void entry_router::set_members(std::span<const member> members)
 {
     members_.assign(members.begin(), members.end());
@@ -238,7 +228,7 @@
 {
     std::string out;
     const auto now = time_.now();
-    for (const auto& route : config_ ? config_->routes : std::vector<route_config>{}) {
+    for (const auto& route : snapshot_ ? snapshot_->config().routes : std::vector<route_config>{}) {
         const auto found = services_.find(route.services.front().service);
         if (found != services_.end()) {
             out += fmt::format("{}:{:.2f} ", route.name,
--- a/src/node/entry_router.h
+++ b/src/node/entry_router.h
@@ -3,9 +3,7 @@
 #include "include/call/header_codec.h"
 #include "include/call/service_call.h"
 #include "include/config/configuration.h"
-#include "include/config/key_index.h"
 #include "include/config/node_settings.h"
-#include "include/config/route_table.h"
 #include "include/core/clock.h"
 #include "include/core/random_source.h"
 #include "include/core/string_map.h"
@@ -13,9 +11,9 @@
 #include "include/retry/chain_limiter.h"
 #include "include/retry/retry_budget.h"
 #include "include/routing/balancer.h"
-#include "include/routing/weighted_split.h"
 #include "src/http1/caller_exchange.h"
 #include "src/node/node_metrics.h"
+#include "src/node/routing_snapshot.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -86,7 +84,7 @@
     void record_abandoned(const caller_exchange& exchange);
 
     void set_configuration(std::shared_ptr<const configuration> config);
-    const configuration* config() const { return config_.get(); }
+    const configuration* config() const { return snapshot_ ? &snapshot_->config() : nullptr; }
 
     /// Sets the currently reachable instances of all services.
     void set_members(std::span<const member> members);
@@ -144,7 +142,6 @@
     void log_rejections();
     void report_load_estimate(const std::string& name, service_state& state);
     void poll_waiting_rates();
-    weighted_split& split(const route_config& route);
 
     asio::io_context& io_;
     const clock& time_;
@@ -153,11 +150,9 @@
     const node_settings& settings_;
     node_metrics& stats_;
     call_dispatcher& dispatcher_;
-    std::shared_ptr<const configuration> config_;
-    std::unique_ptr<route_table> routes_;
-    std::unique_ptr<key_index> keys_;
+    std::shared_ptr<routing_snapshot>
+        snapshot_; ///< Of the configuration in force; empty before the first one.
     string_map<std::unique_ptr<service_state>> services_;
-    string_map<weighted_split> splits_;
     std::vector<member> members_;
     std::vector<evacuated_data_centre> evacuated_;
     rate_limiter rates_;
--- a/tests/node/entry_call_test.cpp
+++ b/tests/node/entry_call_test.cpp
@@ -406,3 +406,61 @@
     CHECK(f.registry.text().find("wh_service_load_spread{of=\"s\"}") != std::string::npos);
     CHECK(f.router.estimated_loads().size() == 1);
 }
+
+namespace {
+
+/// A deployment whose route needs a key and splits its requests between `kept` and one other service. The
+/// rate of the workspace is allocated by another node.
+struct split_fixture : entry_fixture {
+    split_fixture()
+    {
+        for (const auto* service : {"kept", "old", "new"}) {
+            const std::string id = service;
+            members.push_back({id + ":1", id, id, "dc", 1, member_state::ready});
+            dispatcher.failures[id] = overloaded(100ms);
+        }
+        router.set_members(members);
+        const std::vector<peer_address> allocators{"other:1"};
+        router.set_rate_allocators(allocators, 1);
+        codec.key = "secret";
+    }
+
+    void configure(std::uint64_t version, const std::string& second)
+    {
+        auto config = std::make_shared<configuration>(original);
+        config->version = version;
+        config->routes[0].open = false;
+        config->routes[0].services = {{"kept", 1}, {second, 1}};
+        config->workspaces["cafe"].rate = 10;
+        config->workspaces["cafe"].burst = 10;
+        router.set_configuration(config);
+    }
+
+    void grant(std::uint32_t tokens, std::uint32_t sequence)
+    {
+        router.on_rate_grant({"cafe", tokens, sequence, {}});
+        settle(io);
+    }
+};
+
+} // namespace
+
+// A request waits for its rate while the configuration changes. Guards against later requests that are sent
+// to a service which only the previous version names (CONFIG).
+TEST_CASE("a request that waits for its rate leaves nothing of its configuration to later requests")
+{
+    split_fixture f;
+    f.configure(2, "old");
+    f.request();
+    REQUIRE(f.dispatcher.sent.empty());
+    f.configure(3, "new");
+    f.grant(1, 1);
+    REQUIRE(f.dispatcher.sent.size() == 1);
+    f.dispatcher.sent.clear();
+    for (std::uint32_t sequence = 2; sequence < 6; ++sequence) {
+        f.request();
+        f.grant(1, sequence);
+    }
+    const std::set<std::string> reached(f.dispatcher.sent.begin(), f.dispatcher.sent.end());
+    CHECK(reached == std::set<std::string>{"kept", "new"});
+}
