Return a rate token only if no target can have run the request

Workspaces got more than their rate (QUOTA): 1269 requests in 5 s where 1186 are allowed, with targets whose answers are lost beside a flood.

Cause: a request that ended at its deadline while an attempt was in progress gave its token back, because no attempt was known to have arrived, though the target was running it.

An attempt abandoned at the deadline now counts as one that may have run, as a lost connection does, and the token stays spent.

--- a/src/node/entry_call.cpp
+++ b/src/node/entry_call.cpp
@@ -516,7 +516,7 @@
          {"arrivals", arrivals_},
          {"config", snapshot_ ? snapshot_->config().version : 0}});
     router_.stats_.refused(reason).add();
-    if (charged_ && arrivals_ == 0) {
+    if (charged_ && arrivals_ == 0 && !may_have_run_) {
         router_.rates_.refund(call_.workspace, router_.time_.now_with_suspend());
     }
     exchange_->respond({status, router_.codec_.local_response_headers(call_.id, wait), {}});
@@ -567,6 +567,7 @@
         router_.service(call_.service)
             .targets.on_failure(target_, attempt_failure::timeout, router_.time_.now());
         handle->cancel();
+        may_have_run_ = true;
     }
     if (streaming_) {
         exchange_->abort();
--- a/tests/node/entry_call_test.cpp
+++ b/tests/node/entry_call_test.cpp
@@ -52,6 +52,9 @@
         };
         sent.push_back(to.id);
         regions = call.regions;
+        if (holds) {
+            return std::make_shared<handle>();
+        }
         asio::post(io_,
                    [sink, failure = failures.at(to.id), load = load] { sink->on_failure(failure, load); });
         return std::make_shared<handle>();
@@ -69,6 +72,7 @@
     service_call parent;     ///< The request that the own target is running.
     allowed_regions regions; ///< Of the last call.
     load_report load;
+    bool holds = false; ///< Calls get no result.
     steady_time latest_deadline = steady_time::max();
 
 private:
@@ -431,11 +435,14 @@
         config->version = version;
         config->routes[0].open = false;
         config->routes[0].services = {{"kept", 1}, {second, 1}};
+        config->routes[0].timeout = timeout;
         config->workspaces["cafe"].rate = 10;
         config->workspaces["cafe"].burst = 10;
         router.set_configuration(config);
     }
 
+    std::chrono::milliseconds timeout = 30s; ///< Of the route, in the next configuration.
+
     void grant(std::uint32_t tokens, std::uint32_t sequence)
     {
         router.on_rate_grant({"cafe", tokens, sequence, {}});
@@ -464,3 +471,21 @@
     const std::set<std::string> reached(f.dispatcher.sent.begin(), f.dispatcher.sent.end());
     CHECK(reached == std::set<std::string>{"kept", "new"});
 }
+
+// A target runs a request, and its answer does not come in time. Guards against returning the token of that
+// request, which would admit a second one (QUOTA).
+TEST_CASE("the token of a request that may have run admits no other one")
+{
+    split_fixture f;
+    f.timeout = 60ms;
+    f.configure(2, "old");
+    f.dispatcher.holds = true;
+    f.request();
+    f.grant(1, 1);
+    REQUIRE(f.dispatcher.sent.size() == 1);
+    REQUIRE(run_until(f.io, [&] { return f.refusal_metric_lines().find("deadline") != std::string::npos; }));
+    f.request();
+    CHECK(f.dispatcher.sent.size() == 1);
+    f.grant(1, 2);
+    CHECK(f.dispatcher.sent.size() == 2);
+}
