--- a/tests/admission/cold_start_limit_test.cpp
+++ b/tests/admission/cold_start_limit_test.cpp
@@ -197,7 +197,7 @@
 
     void start_node()
     {
-        tracker_.emplace("labels", "10.0.0.1:80");
+        tracker_.emplace("labels", "10.0.0.1:80", now_);
         admission_options options;
         options.limit = limit_options_for_slots(model_slots);
         admission_.emplace(options);
@@ -325,7 +325,8 @@
             // The new process cannot know what the previous one sent to a target that it took for warm.
             std::erase_if(arrivals_, [](const arrival& a) { return !a.known_cold; });
         }
-        else if (node_up() && target_.id.empty() && target_up() && !restarting_) {
+        else if (node_up() && (target_.id.empty() || tracker_->has_unconfirmed(now_)) && target_up() &&
+                 !restarting_) {
             tracker_->on_probe("t" + std::to_string(incarnation_), model_slots,
                                chance(3000) ? std::nullopt : cold_left(), now_);
             apply_target(now_);
