Allocate rates only after the fleet is known

Cause: a node that has read the configuration and knows no other node yet took itself for the whole fleet 0.2 s after its start, until it had read the other nodes' rows.

A node now needs to have read all rows, or to have met a node that allocates and so knows the fleet. Related path: rows that come in several pages (test of node_registry).

--- a/include/membership/node_registry.h
+++ b/include/membership/node_registry.h
@@ -34,6 +34,7 @@
     struct events {
         std::function<void(const std::vector<peer_address>&)> found;
         std::function<void(const peer_address&)> removed;
+        std::function<void()> read = [] {}; ///< All rows have been read.
     };
 
     node_registry(asio::io_context& io, row_store& store, member self, node_registry_options options,
--- a/include/quota/allocator_candidates.h
+++ b/include/quota/allocator_candidates.h
@@ -11,13 +11,14 @@
 /// How much a node knows of its fleet.
 struct fleet_knowledge {
     bool configured = false;  ///< It has a configuration.
+    bool complete = false;    ///< The store or a node that allocates has told which nodes there are.
     std::size_t contacts = 0; ///< Other nodes that it knows.
     std::size_t links = 0;    ///< Those that it has a link to.
     duration age{};           ///< Time since it started.
 };
 
 /// Whether a node may allocate rates. One that knows few others would take itself for the allocator of
-/// workspaces whose allocator is alive.
+/// workspaces whose allocator is alive; one that knows of no others may only not have heard of them yet.
 bool may_allocate_rates(const fleet_knowledge& known);
 
 /// The nodes that may allocate rates. Nodes that leave do so only if all others do, so that a fleet that
--- a/src/membership/node_registry.cpp
+++ b/src/membership/node_registry.cpp
@@ -117,6 +117,7 @@
                         return;
                     }
                     position_ = page->version;
+                    events_.read();
                     run_after(options_.pause, [this, pass] { follow(pass); });
                 });
 }
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -107,8 +107,9 @@
     self.address = settings_.peers;
     self.service = settings_.service;
     self.data_centre = settings_.data_centre;
-    registry_ = std::make_unique<node_registry>(io_, *store_, self, node_registry_options{},
-                                                node_registry::events{events_.found, events_.removed});
+    registry_ = std::make_unique<node_registry>(
+        io_, *store_, self, node_registry_options{},
+        node_registry::events{events_.found, events_.removed, events_.fleet_read});
     events_.found(settings_.seeds);
     config_->on_rows([this](const followed_rows& r) {
         events_.evacuation(r.full_read ? evacuation_.on_read(r.rows, r.version)
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -34,6 +34,8 @@
     std::function<void(const target_state&, std::function<void()> done)> target;
     /// Peers discovered in the store or listed as seeds.
     std::function<void(const std::vector<peer_address>&)> found;
+    /// All rows of the nodes have been read, and their addresses passed to found().
+    std::function<void()> fleet_read;
     /// A peer's row was removed from the store.
     std::function<void(const peer_address&)> removed;
     /// A call of the configuration's follower has ended; true if the store has answered it.
--- a/src/node/node_supervisor.cpp
+++ b/src/node/node_supervisor.cpp
@@ -71,6 +71,7 @@
     events.found = [this, &traffic](const std::vector<peer_address>& nodes) {
         asio::post(traffic, [this, nodes] { traffic_->add_peers(nodes); });
     };
+    events.fleet_read = [this, &traffic] { asio::post(traffic, [this] { traffic_->on_fleet_read(); }); };
     events.removed = [this, &traffic](const peer_address& node) {
         asio::post(traffic, [this, node] { traffic_->forget(node); });
     };
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -291,6 +291,8 @@
     if (status.load.pace > 0) {
         target_dispatcher_.assume_usual_pace();
     }
+    // A node allocates only if it knows the fleet, and its hello lists the nodes that it knows.
+    fleet_known_ = fleet_known_ || status.allocates_rates;
     known = status;
     on_peer_evacuation(status);
     if (status.self.state == member_state::left) {
--- a/src/node/traffic_plane.h
+++ b/src/node/traffic_plane.h
@@ -74,6 +74,9 @@
     void add_peers(const std::vector<peer_address>& nodes);
     void forget(const peer_address& node);
 
+    /// The store has told which nodes there are.
+    void on_fleet_read();
+
     /// Records the end of a store call of the control plane, and whether the store has answered it.
     void on_store_call_end(bool answered);
 
@@ -184,6 +187,7 @@
     steady_time config_requested_at_{};
     steady_time started_{};
     bool allocates_rates_ = false;
+    bool fleet_known_ = false; ///< The store or a node that allocates has told which nodes there are.
     fleet_view fleet_view_;
     std::vector<peer_address> rate_allocators_; ///< As last passed to the router, like the next.
     double reachable_fraction_ = 0;
--- a/src/node/traffic_plane_rates.cpp
+++ b/src/node/traffic_plane_rates.cpp
@@ -15,10 +15,15 @@
 
 } // namespace
 
+void traffic_plane::on_fleet_read()
+{
+    fleet_known_ = true;
+}
+
 void traffic_plane::check_rate_allocation()
 {
-    const fleet_knowledge known{config_.content != nullptr, mesh_.contact_count(), mesh_.link_count(),
-                                time_.now() - started_};
+    const fleet_knowledge known{config_.content != nullptr, fleet_known_, mesh_.contact_count(),
+                                mesh_.link_count(), time_.now() - started_};
     const bool allocates = may_allocate_rates(known);
     if (std::exchange(allocates_rates_, allocates) != allocates) {
         mesh_.publish_status();
--- a/src/quota/allocator_candidates.cpp
+++ b/src/quota/allocator_candidates.cpp
@@ -14,7 +14,7 @@
 
 bool may_allocate_rates(const fleet_knowledge& known)
 {
-    if (!known.configured || known.age < min_join_time) {
+    if (!known.configured || !known.complete || known.age < min_join_time) {
         return false;
     }
     const auto needed_links = static_cast<double>(known.contacts) * min_link_fraction;
--- a/tests/membership/node_registry_test.cpp
+++ b/tests/membership/node_registry_test.cpp
@@ -31,7 +31,8 @@
             node_registry::events{[this](const std::vector<peer_address>& nodes) {
                                       found.insert(found.end(), nodes.begin(), nodes.end());
                                   },
-                                  [this](const peer_address& node) { removed.push_back(node); }});
+                                  [this](const peer_address& node) { removed.push_back(node); },
+                                  [this] { ++full_reads; }});
         registry->start();
     }
 
@@ -39,6 +40,7 @@
     scripted_store store;
     std::vector<peer_address> found;
     std::vector<peer_address> removed;
+    int full_reads = 0;
     std::unique_ptr<node_registry> registry;
 };
 
@@ -104,3 +106,18 @@
     CHECK(f.store.last_transaction.preconditions.front().key == "10.0.0.1:1");
     CHECK(f.store.last_transaction.preconditions.front().version == 5);
 }
+
+// Guards against a node that takes a part of the fleet, or nothing, for all of it.
+TEST_CASE("the fleet counts as read once all rows have been")
+{
+    registry_fixture f;
+    answer_oldest(f.store.writes, result<std::uint64_t>{5});
+    CHECK(f.full_reads == 0);
+    auto first = page_of({"10.0.0.2:1"}, 6);
+    first.truncated = true;
+    answer_oldest(f.store.reads, result<store_page>{first});
+    CHECK(f.full_reads == 0);
+    answer_oldest(f.store.reads, result<store_page>{page_of({"10.0.0.3:1"}, 6)});
+    CHECK(f.full_reads == 1);
+    CHECK(f.found.size() == 2);
+}
--- a/tests/quota/allocator_candidates_test.cpp
+++ b/tests/quota/allocator_candidates_test.cpp
@@ -13,12 +13,21 @@
 // against a fleet in which nobody does.
 TEST_CASE("a node allocates rates once it is linked to most nodes, or after a while")
 {
-    CHECK_FALSE(may_allocate_rates({false, 0, 0, 1h}));
-    CHECK_FALSE(may_allocate_rates({true, 0, 0, 100ms}));
-    CHECK(may_allocate_rates({true, 0, 0, 300ms}));
-    CHECK_FALSE(may_allocate_rates({true, 10, 7, 2s}));
-    CHECK(may_allocate_rates({true, 10, 8, 300ms}));
-    CHECK(may_allocate_rates({true, 10, 0, 3s}));
+    CHECK_FALSE(may_allocate_rates({false, true, 0, 0, 1h}));
+    CHECK_FALSE(may_allocate_rates({true, true, 0, 0, 100ms}));
+    CHECK(may_allocate_rates({true, true, 0, 0, 300ms}));
+    CHECK_FALSE(may_allocate_rates({true, true, 10, 7, 2s}));
+    CHECK(may_allocate_rates({true, true, 10, 8, 300ms}));
+    CHECK(may_allocate_rates({true, true, 10, 0, 3s}));
+}
+
+// All nodes restart beside a slow store. Guards against each of them allocating every rate alone because it
+// knows of no other node yet (QUOTA).
+TEST_CASE("a node that has not been told of its fleet allocates no rates, however long that takes")
+{
+    CHECK_FALSE(may_allocate_rates({true, false, 0, 0, 300ms}));
+    CHECK_FALSE(may_allocate_rates({true, false, 0, 0, 1h}));
+    CHECK_FALSE(may_allocate_rates({true, false, 3, 3, 1h}));
 }
 
 // Guards against rates that nobody allocates while the whole fleet stops.
--- a/tests/quota/rate_fleet.h
+++ b/tests/quota/rate_fleet.h
@@ -244,7 +244,8 @@
                 links += peers.back().linked ? 1U : 0U;
             }
         }
-        n.allocates = may_allocate_rates({true, peers.size(), links, now_ - n.started});
+        n.allocates =
+            may_allocate_rates({true, now_ >= n.fleet_known_at, peers.size(), links, now_ - n.started});
         n.view->set_self(n.allocates, false);
         n.view->update(peers, {}, now_);
         auto allocators = n.view->allocators();
--- a/tests/quota/rate_limiter_test.cpp
+++ b/tests/quota/rate_limiter_test.cpp
@@ -296,6 +296,27 @@
     }
 }
 
+// All nodes restart during a flood, and the store that lists them answers late. Guards against nodes that
+// each allocate the rate alone until they know of the others (QUOTA).
+TEST_CASE("a restart of all nodes beside a slow store does not add to what is admitted")
+{
+    const double rate = 45;
+    fleet f{16, rate, 55};
+    const auto flood = [&](std::size_t) { return rate * 0.6 * 7.8 / 16; };
+    f.run(6s, [&](std::size_t) { return rate * 0.6 / 16; });
+    f.run(1s, flood);
+    for (std::size_t i = 0; i < 16; ++i) {
+        f.restart(i, 550ms + 10ms * static_cast<int>(i));
+    }
+    f.run(8s, flood);
+    INFO("most " << f.max_in_window << ", bound " << f.bound());
+    CHECK(f.max_in_window <= f.bound());
+    f.refused = 0;
+    f.sent = 0;
+    f.run(5s, flood);
+    CHECK(static_cast<double>(f.sent - f.refused) > rate * 5 * 0.9);
+}
+
 // Guards against a cut-off side that serves nothing, and against one that takes more than its part.
 TEST_CASE("both sides of a partition serve their part of the rate")
 {
@@ -342,7 +363,7 @@
     CHECK(f.max_in_window <= f.bound());
 }
 
-// Random series of partitions, one-way losses, resets, refused dials, delays, pauses, restarts
+// Random series of partitions, one-way losses, resets, refused dials, delays, pauses, restarts, slow stores
 // and floods. Guards against any of them adding to what the rule of the sliding window allows.
 TEST_CASE("what all nodes admit stays within the bound under random faults")
 {
@@ -357,7 +378,7 @@
         f.run(6s, [&](std::size_t) { return rate * 0.6 / static_cast<double>(nodes); });
         for (int phase = 0; phase < 6; ++phase) {
             const auto side = 1 + pick(nodes - 1);
-            const auto kind = pick(7);
+            const auto kind = pick(8);
             const double load =
                 (random.unit() < 0.5 ? 0.6 : 1 + random.unit() * 7) / static_cast<double>(nodes);
             f.linked = [=](std::size_t a, std::size_t b) {
@@ -373,9 +394,9 @@
                 return (kind == 5 || kind == 6) && (a < side) != (b < side);
             };
             f.refuses = kind == 6;
-            if (kind == 4) {
+            if (kind == 4 || kind == 7) {
                 for (std::size_t i = 0; i < side; ++i) {
-                    f.restart(i);
+                    f.restart(i, kind == 7 ? milliseconds{pick(700)} : milliseconds{0});
                 }
             }
             f.run(std::chrono::milliseconds{500 + pick(4500)}, [&](std::size_t) { return rate * load; });
