End a target connection for good when a callback ends it

Cause: dispatched_call cancels the connection within the callback for the body. The connection went on with the bytes at hand, reached the end of the response and listed itself as idle in the pool, which had let go of it. Evidence: the new test of target_dispatcher ended with an exception from the pool before.

The connection passes nothing on after its end, and the pool's list owns what it lists, so it cannot name a connection that is gone. Related paths: callers' sessions and peer links check after each message that they are open, and nobody lists them by pointer.

--- a/src/http1/target_connection.cpp
+++ b/src/http1/target_connection.cpp
@@ -132,6 +132,9 @@
         const auto delivered = delivered_;
         const auto [status, consumed] = parser_.parse(bytes);
         bytes.remove_prefix(consumed);
+        if (ended_) {
+            return; // By a callback during the parsing.
+        }
         overhead_ += consumed - (delivered_ - delivered);
         if (events_ && exceeds_overhead_limit()) {
             fail(parser_.head_complete() && !skipping_ ? target_failure::truncated
--- a/src/http1/target_connection.h
+++ b/src/http1/target_connection.h
@@ -49,7 +49,7 @@
 
 class target_connection;
 
-/// Notified when a connection becomes idle or closes.
+/// Notified when a connection becomes idle or closes. on_end() is the last notification.
 class target_connection_owner {
 public:
     virtual ~target_connection_owner() = default;
@@ -58,7 +58,8 @@
 };
 
 /// Client side of one HTTP/1.1 connection to the target, with one request at a time. Unsolicited bytes close
-/// it.
+/// it. Its owner holds it until on_end(); while it runs a callback of its events, it holds itself. Events may
+/// end it by cancel() within any of their callbacks: nothing of what was received is passed on after that.
 class target_connection final : public byte_stream, private message_events {
 public:
     target_connection(asio::ip::tcp::socket socket, target_connection_owner& owner, const clock& time);
--- a/src/http1/target_pool.cpp
+++ b/src/http1/target_pool.cpp
@@ -34,7 +34,7 @@
 {
     const auto now = time_.now();
     for (auto i = idle_.size(); i-- > 0;) {
-        const auto candidate = connections_.at(idle_[i]);
+        const auto candidate = idle_[i];
         const auto age = now - candidate->idle_since();
         if (age >= candidate->idle_limit() || !candidate->idle()) {
             candidate->cancel(); // Removes it from idle_.
@@ -71,9 +71,9 @@
 {
     const auto now = time_.now();
     const auto copy = idle_;
-    for (auto* connection : copy) {
+    for (const auto& connection : copy) {
         if (now - connection->idle_since() >= connection->idle_limit()) {
-            connections_.at(connection)->cancel();
+            connection->cancel();
         }
     }
     // A failed exchange ends its connection, which removes it from the pool.
@@ -91,14 +91,16 @@
 void target_pool::close_idle()
 {
     const auto copy = idle_;
-    for (auto* connection : copy) {
-        connections_.at(connection)->cancel();
+    for (const auto& connection : copy) {
+        connection->cancel();
     }
 }
 
 void target_pool::on_idle(target_connection& connection)
 {
-    idle_.push_back(&connection);
+    if (const auto found = connections_.find(&connection); found != connections_.end()) {
+        idle_.push_back(found->second);
+    }
 }
 
 void target_pool::on_end(target_connection& connection)
@@ -106,7 +108,7 @@
     if (closing_) {
         return;
     }
-    idle_.erase(std::remove(idle_.begin(), idle_.end(), &connection), idle_.end());
+    std::erase_if(idle_, [&](const auto& idle) { return idle.get() == &connection; });
     connections_.erase(&connection);
 }
 
--- a/src/http1/target_pool.h
+++ b/src/http1/target_pool.h
@@ -44,7 +44,8 @@
     const clock& time_;
     asio::ip::tcp::endpoint target_;
     std::unordered_map<target_connection*, std::shared_ptr<target_connection>> connections_;
-    std::vector<target_connection*> idle_; ///< The most recently used is last.
+    /// A part of connections_; the most recently used is last.
+    std::vector<std::shared_ptr<target_connection>> idle_;
     std::uint64_t opened_ = 0;
     bool closing_ = false;
 };
--- a/tests/call/target_dispatcher_test.cpp
+++ b/tests/call/target_dispatcher_test.cpp
@@ -598,6 +598,38 @@
     }
 }
 
+// A target spoils responses of all sizes, below and above what is buffered, and they arrive as a whole.
+// Guards against using a connection that was ended by one of its own callbacks: requests on it were never
+// answered.
+TEST_CASE("a spoilt response ends its connection for good and only that")
+{
+    const std::vector<std::string> spoilt{"", "Mark: 1\r\nContent-Encoding: gzip\r\n", "Not-Run: 1\r\n"};
+    for (const std::size_t size : {0U, 1000U, 65'536U, 65'537U, 70'000U, 200'000U, 600'000U}) {
+        for (const auto& headers : spoilt) {
+            INFO(size << ' ' << headers);
+            std::size_t requests = 0;
+            fixture f{[&](std::size_t) {
+                          const auto id = std::to_string(requests);
+                          const bool is_spoilt = requests++ % 2 == 0;
+                          return raw_server::action{is_spoilt ? answer(id, headers, std::string(size, 'x'))
+                                                              : answer(id, "Mark: 1\r\n", "whole")};
+                      },
+                      4};
+            for (int i = 0; i < 6; i += 2) {
+                const auto bad = f.start(std::to_string(i));
+                REQUIRE(f.wait([&] { return bad->over(); }));
+                CHECK_FALSE(bad->reply.has_value());
+                const auto good = f.start(std::to_string(i + 1));
+                REQUIRE(f.wait([&] { return good->over(); }));
+                REQUIRE(good->reply);
+                CHECK(good->reply->body == "whole");
+            }
+            CHECK(f.dispatcher.in_progress() == 0);
+            f.dispatcher.sweep();
+        }
+    }
+}
+
 // Guards against an endless response exhausting memory while its caller reads slowly or not at all.
 TEST_CASE("an endless response is read only as fast as its caller consumes it")
 {
