Bound the memory of a response's header fields and of health checks

Reported by other operators: a faulty server sent bytes that were no answer without end, and the machine that had called it ran out of memory with the requests of all its clients.

It could happen here: an exchange reads at most 64 KiB of head, but a field of three bytes takes a record of 64 bytes and more. A health check's answer was kept up to 16 MiB.

Records of fields now count towards the bound of a response's head, and a health check keeps 64 KiB. Related paths, all in the new tests: no status line, a field without end, interim answers, answers to other requests, chunk extensions, trailers, bodies. They were bounded already.

--- a/src/http/curl_http_client.cpp
+++ b/src/http/curl_http_client.cpp
@@ -83,8 +83,8 @@
 {
     const auto id = ++last_id_;
     const bool address_valid = is_ip_and_port(call.address);
-    auto transfer =
-        std::make_unique<curl_transfer>(id, std::move(call), std::move(done), options_.max_response);
+    const auto max_response = call.max_response > 0 ? call.max_response : options_.max_response;
+    auto transfer = std::make_unique<curl_transfer>(id, std::move(call), std::move(done), max_response);
     if (!address_valid) {
         complete_later(*transfer,
                        transfer->failed(errc::invalid_argument, "address is not an IP address and port"));
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -27,6 +27,7 @@
     field_.clear();
     value_.clear();
     head_bytes_ = 0;
+    field_memory_ = 0;
     in_value_ = false;
     head_complete_ = false;
     complete_ = false;
@@ -37,6 +38,7 @@
 {
     if (in_value_) {
         head_.headers.push_back({std::move(field_), std::move(value_)});
+        field_memory_ += role_ == message_role::response ? sizeof(http_header) : 0;
     }
     field_.clear();
     value_.clear();
@@ -85,6 +87,9 @@
             if (me.in_value_) {
                 me.end_header();
             }
+            if (me.field_memory_ > me.max_head_) {
+                return reject_message;
+            }
             // Trailers follow the body. They concern only this connection and are dropped.
             if (!me.head_complete_) {
                 me.field_.append(at, size);
@@ -141,10 +146,10 @@
             return {parse_status::complete, consumed};
         }
         if (code != HPE_OK || parser_.upgrade != 0) {
-            return {code == HPE_HEADER_OVERFLOW ? parse_status::head_too_large : parse_status::malformed,
-                    consumed};
+            const bool too_large = code == HPE_HEADER_OVERFLOW || field_memory_ > max_head_;
+            return {too_large ? parse_status::head_too_large : parse_status::malformed, consumed};
         }
-        if (!head_complete_ && head_bytes_ > max_head_) {
+        if (!head_complete_ && head_bytes_ + field_memory_ > max_head_) {
             return {parse_status::head_too_large, consumed};
         }
     }
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -49,7 +49,8 @@
 /// sees every byte that follows the message. Single-threaded.
 class message_parser {
 public:
-    /// max_head: maximum size of the start line and headers in bytes.
+    /// max_head: maximum size of the start line and headers in bytes. For responses it also bounds the memory
+    /// that their header fields take, which is many times the size of tiny ones.
     message_parser(message_role role, message_events& events, std::size_t max_head);
     ~message_parser() = default;
     message_parser(const message_parser&) = delete;
@@ -84,6 +85,7 @@
     std::string field_;
     std::string value_;
     std::size_t head_bytes_ = 0;
+    std::size_t field_memory_ = 0; ///< Of the header fields of a response, besides their text.
     bool in_value_ = false;
     bool head_complete_ = false;
     bool complete_ = false;
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -20,6 +20,8 @@
 constexpr duration refused_log_interval = 10s;
 constexpr auto probe_timeout = 500ms;
 constexpr duration probe_retry_delay = 300ms;
+// Bytes. Only the headers of a health check's answer are used.
+constexpr std::size_t max_probe_response = std::size_t{64} << 10;
 
 void respond_acknowledged(http_exchange& exchange)
 {
@@ -218,6 +220,7 @@
     call.request.method = "GET";
     call.request.target = health_path_.empty() ? "/healthz" : health_path_;
     call.timeout = probe_timeout;
+    call.max_response = max_probe_response;
     http_->start(std::move(call), [this](const http_result& r) {
         probing_ = false;
         on_probe_result(r);
--- a/tests/call/target_dispatcher_test.cpp
+++ b/tests/call/target_dispatcher_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <malloc.h>
+
 using namespace wagtailhatch;
 using namespace wagtailhatch::test;
 using namespace std::chrono_literals;
@@ -598,6 +600,70 @@
     }
 }
 
+namespace {
+
+/// Bytes allocated by this process.
+std::size_t allocated_bytes()
+{
+    const auto info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+std::string repeated(const std::string& text, std::size_t size)
+{
+    std::string out;
+    while (out.size() < size) {
+        out += text;
+    }
+    return out;
+}
+
+} // namespace
+
+// A faulty target sends as much as one response may take on each of its connections, and then nothing. Guards
+// against a node that runs out of memory, with the requests of all its other callers: 133 slots beside 160
+// MB.
+TEST_CASE("responses that never end stay within the node's memory on all connections together")
+{
+    constexpr std::size_t slots = 133;
+    constexpr std::size_t most_growth = std::size_t{80} << 20; // Half of the memory.
+    constexpr std::size_t most_sent = std::size_t{60} << 10;
+    const std::string status = "HTTP/1.1 200 OK\r\nId: a\r\n";
+    const std::vector<std::string> responses{
+        "HTTP/1.1 200 " + repeated("x", most_sent),
+        status + "X: " + repeated("x", most_sent),
+        status + repeated("F:\r\n", most_sent),
+        repeated("HTTP/1.1 100 Continue\r\n\r\n", most_sent),
+        repeated(answer("b", "Mark: 1\r\n", "late"), most_sent),
+        status + "Transfer-Encoding: chunked\r\n\r\n5;" + repeated("e", most_sent),
+        status + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + repeated("T:\r\n", most_sent),
+        status + "\r\n" + repeated("x", most_sent),
+        status + "Mark: 1\r\n\r\n" + repeated("x", most_sent),
+    };
+    for (const auto& response : responses) {
+        INFO(response.substr(0, 60));
+        fixture f{[&](std::size_t) { return raw_server::action{response}; }, slots};
+        const auto before = allocated_bytes();
+        std::vector<std::shared_ptr<sink_recorder>> sinks;
+        for (std::size_t i = 0; i < slots; ++i) {
+            sinks.push_back(f.start("a"));
+        }
+        std::size_t peak = 0;
+        CHECK(f.wait([&] {
+            peak = std::max(peak, allocated_bytes());
+            return f.server.requests() >= slots / 2;
+        }));
+        settle(f.io);
+        peak = std::max(peak, allocated_bytes());
+        CHECK(peak - before < most_growth);
+        for (const auto& handle : f.handles) {
+            handle->cancel();
+        }
+        settle(f.io);
+        CHECK(f.dispatcher.in_progress() == 0);
+    }
+}
+
 // A target spoils responses of all sizes, below and above what is buffered, and they arrive as a whole.
 // Guards against using a connection that was ended by one of its own callbacks: requests on it were never
 // answered.
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -109,6 +109,20 @@
     CHECK(f.server.requests() == 1);
 }
 
+// A target answers a health check without end. Guards against a call that keeps as much of its response as
+// the largest of any call may have.
+TEST_CASE("a call may bound its response")
+{
+    client_fixture f{always("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x'))};
+    auto call = make_call(f.server.address(), "GET", "/x");
+    call.max_response = 4999;
+    const auto bounded = complete(f.io, *f.client, call);
+    CHECK_FALSE(bounded.ok);
+    CHECK(bounded.reason.code == errc::too_large);
+    call.max_response = 5000;
+    CHECK(complete(f.io, *f.client, call).ok);
+}
+
 // Guards against rejecting responses that validly have no body.
 TEST_CASE("responses without a body need no length")
 {
--- a/tests/http1/message_parser_test.cpp
+++ b/tests/http1/message_parser_test.cpp
@@ -71,6 +71,26 @@
     CHECK(status == parse_status::head_too_large);
 }
 
+// A faulty target sends tiny fields without end. Guards against a head within the limit that takes many times
+// its size in memory, on each connection of a node at once.
+TEST_CASE("the memory of a response's head is bounded whatever the size of its fields")
+{
+    constexpr std::size_t limit = std::size_t{64} << 10;
+    for (const std::string field : {"F: v\r\n", "F:\r\n", "Field: a value of usual length\r\n"}) {
+        INFO(field);
+        recorder seen;
+        message_parser parser{message_role::response, seen, limit};
+        auto status = parser.parse("HTTP/1.1 200 OK\r\n").status;
+        std::size_t fields = 0;
+        for (; status == parse_status::need_more; ++fields) {
+            status = parser.parse(field).status;
+        }
+        CHECK(status == parse_status::head_too_large);
+        CHECK(fields * (sizeof(http_header) + field.size()) <=
+              limit + 2 * sizeof(http_header) + field.size());
+    }
+}
+
 // Guards against taking an interim response for the final one.
 TEST_CASE("interim responses are skipped")
 {
