Append the bound of a call's response to http_call

The field stood before no_retry, so the aggregate of tests/system/deployment.cpp bounded its responses at one byte and every system test failed.

--- a/include/http/http_client.h
+++ b/include/http/http_client.h
@@ -27,9 +27,9 @@
     http_request request;
     duration timeout{}; ///< Covers connecting, sending and receiving; not enforced during a wait for a free
                         ///< connection.
+    bool no_retry = false; ///< Uses a new connection, on which libcurl cannot send the request twice.
     /// Bytes of the response's body; 0: as for all calls of the client.
     std::size_t max_response = 0;
-    bool no_retry = false; ///< Uses a new connection, on which libcurl cannot send the request twice.
 };
 
 /// A complete response, or the reason of the failure.
