--- a/src/node/entry_call.h
+++ b/src/node/entry_call.h
@@ -54,6 +54,10 @@
     /// Derives the allowed regions and data centres from the route, the workspace and the request of this
     /// node's own target that makes this call, if any.
     void restrict_regions(const allowed_regions& of_workspace, const service_call* parent);
+    /// An attempt has ended and may have run.
+    void on_unknown_outcome(refusal_reason reason);
+    /// An attempt has certainly not run.
+    void on_not_run(const call_failure& failure, const load_report& load);
     /// Tries another data centre after a node has refused the request because its data centre is evacuated or
     /// outside of the allowed regions.
     void on_data_centre_refused(refusal_reason reason);
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -47,6 +47,11 @@
 
 } // namespace
 
+void log_unstarted(const unstarted_call& unstarted)
+{
+    log(log_level::info, "work cancelled", {{"id", unstarted.call.id}, {"begun", false}});
+}
+
 peer_link::peer_link(asio::ip::tcp::socket socket, peer_link_owner& owner, const clock& time, bool dialled)
     : byte_stream{std::move(socket)}
     , owner_{owner}
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -49,6 +49,9 @@
     service_call call;
 };
 
+/// Logs that a call ends before it was started.
+void log_unstarted(const unstarted_call& unstarted);
+
 /// Framed, multiplexed connection between two nodes that carries calls in both directions. Single-threaded.
 class peer_link final : public byte_stream {
 public:
