Count a restarted node, or one back soon, for rates at once

After restarts a workspace's rate stayed divided for 2 s from the last change anywhere: the delay that protects against the other side of a cut applied to the fleet as a whole. fleet_view keeps it for each node now and leaves it out where nobody else can have counted the node: a new process, or one that was away for less than half of the takeover delay.

Also lets the linter pass on target_pool.

--- a/include/quota/fleet_view.h
+++ b/include/quota/fleet_view.h
@@ -16,9 +16,10 @@
     bool linked = false;
     /// Linked, but overdue, or the peer says that this node is: messages may be lost in one direction.
     bool suspect = false;
-    bool refuses = false;   ///< Not linked, and nothing listens on its address.
-    bool allocates = false; ///< Linked, and it may allocate rates.
-    bool leaving = false;   ///< Linked, and it is about to end.
+    bool refuses = false;          ///< Not linked, and nothing listens on its address.
+    bool allocates = false;        ///< Linked, and it may allocate rates.
+    bool leaving = false;          ///< Linked, and it is about to end.
+    std::uint64_t incarnation = 0; ///< Of its process; 0 unless linked.
 };
 
 struct fleet_view_options {
@@ -26,6 +27,8 @@
     /// longer than a node goes on counting a peer that it no longer hears, because a lost node may be alive
     /// and cut off.
     duration takeover_delay = std::chrono::milliseconds{1300};
+    /// A node that is back counts from this long after its return: others may have counted it meanwhile.
+    duration return_delay = std::chrono::seconds{2};
     /// A lost node counts as ended once connections to it have been refused for this long.
     duration removal_delay = std::chrono::seconds{12};
     /// A node that was never linked counts from this long after it became known.
@@ -63,13 +66,19 @@
         /// When the node became known, or from when it no longer counts this one: the last link has ended, or
         /// this node has missed it and says so.
         steady_time lost{};
-        steady_time refused_since{}; ///< Zero unless it refuses.
-        bool met = false;            ///< It has been linked.
+        steady_time refused_since{};   ///< Zero unless it refuses.
+        bool met = false;              ///< It has been linked.
+        std::uint64_t incarnation = 0; ///< Of the process that was linked last.
+        steady_time counts_from{};     ///< When its part may be allocated by this node again.
         /// It allocated when it was last linked, or has not been linked yet, and no other may so far.
         bool holds_rights = true;
+        bool reached = false; ///< Its part may be allocated by this node.
         bool counted = false; ///< It is a part of the fleet, reached or not.
     };
 
+    /// When a node that has just been reached counts.
+    static steady_time count_time(const peer_state& state, const peer_presence& peer,
+                                  const fleet_view_options& options, steady_time now);
     static void apply(peer_state& state, const peer_presence& peer, const fleet_view_options& options,
                       steady_time now);
 
--- a/include/quota/rate_limiter.h
+++ b/include/quota/rate_limiter.h
@@ -72,9 +72,6 @@
     /// Drops all tokens and the contents of all buckets if this process was paused: another node may have
     /// become the allocator and granted the rate meanwhile.
     void check_pause(steady_time now);
-    /// Lowers the reachable fraction at once and raises it late: a node that is back may still be counted by
-    /// the other side of a partition.
-    void set_reachable_fraction(double fraction, steady_time now);
     void update_ownership(steady_time now);
     /// Gives the held tokens to the waiting requests, requests more, and refuses those that wait in vain.
     void serve(const std::string& workspace, workspace_state& state, steady_time now);
@@ -88,10 +85,8 @@
     rate_allocator allocator_;
     allocator_ring ring_;
     string_map<workspace_state> workspaces_;
-    double reachable_fraction_ = 1; ///< In effect.
-    double current_fraction_ = 1;   ///< As last reported.
-    steady_time raise_at_{};        ///< When a higher fraction takes effect.
-    steady_time last_active_{};     ///< Last time that this process is known to have run.
+    double reachable_fraction_ = 1;
+    steady_time last_active_{}; ///< Last time that this process is known to have run.
     std::size_t waiting_ = 0;
 };
 
--- a/src/http1/target_pool.cpp
+++ b/src/http1/target_pool.cpp
@@ -34,7 +34,7 @@
 {
     const auto now = time_.now();
     for (auto i = idle_.size(); i-- > 0;) {
-        const auto candidate = idle_[i];
+        auto candidate = idle_[i];
         const auto age = now - candidate->idle_since();
         if (age >= candidate->idle_limit() || !candidate->idle()) {
             candidate->cancel(); // Removes it from idle_.
--- a/src/node/traffic_plane_rates.cpp
+++ b/src/node/traffic_plane_rates.cpp
@@ -37,9 +37,10 @@
 {
     std::vector<peer_presence> out;
     for (const auto& contact : mesh_.contacts()) {
-        peer_presence p{contact.address, contact.linked, contact.suspect, contact.refused, false, false};
+        peer_presence p{contact.address, contact.linked, contact.suspect, contact.refused, false, false, 0};
         if (const auto found = peers_.find(contact.address); found != peers_.end() && contact.linked) {
             p.allocates = found->second.allocates_rates;
+            p.incarnation = found->second.self.incarnation;
             p.leaving = found->second.self.state == member_state::leaving;
             p.suspect = p.suspect || found->second.misses_receiver;
         }
--- a/src/quota/fleet_view.cpp
+++ b/src/quota/fleet_view.cpp
@@ -33,6 +33,15 @@
     std::erase_if(peers_, [&](const auto& entry) { return entry.second.update != updates_; });
 }
 
+steady_time fleet_view::count_time(const peer_state& state, const peer_presence& peer,
+                                   const fleet_view_options& options, steady_time now)
+{
+    const bool new_process = peer.incarnation != state.incarnation;
+    // Nobody else counts a new process, nor one that has missed this node too briefly to turn to another.
+    const bool unclaimed = new_process || now - state.lost < options.takeover_delay / 2;
+    return unclaimed ? now : now + options.return_delay;
+}
+
 void fleet_view::apply(peer_state& state, const peer_presence& peer, const fleet_view_options& options,
                        steady_time now)
 {
@@ -41,6 +50,10 @@
     if (was_reached && !reached) {
         state.lost = now;
     }
+    if (reached && !was_reached) {
+        state.counts_from = count_time(state, peer, options, now);
+        state.incarnation = peer.incarnation;
+    }
     if (!peer.refuses) {
         state.refused_since = {};
     }
@@ -50,6 +63,7 @@
     // A linked process tells itself whether it allocates: a new one on the address does not yet.
     state.holds_rights =
         peer.linked ? peer.allocates : state.holds_rights && now - state.lost < options.takeover_delay;
+    state.reached = reached && now >= state.counts_from;
     state.met = state.met || peer.linked;
     const bool joined = state.met || now - state.lost >= options.join_delay;
     const bool ended = peer.refuses && now - state.refused_since >= options.removal_delay;
@@ -84,9 +98,8 @@
     double reached = 1;
     double all = 1;
     for (const auto& [address, state] : peers_) {
-        const bool reaches = state.now.linked && !state.now.suspect;
-        reached += reaches ? 1 : 0;
-        all += reaches || state.counted ? 1 : 0;
+        reached += state.reached ? 1 : 0;
+        all += state.reached || state.counted ? 1 : 0;
     }
     return reached / all;
 }
--- a/src/quota/rate_limiter.cpp
+++ b/src/quota/rate_limiter.cpp
@@ -15,8 +15,6 @@
 constexpr duration not_owner_retry_after = 30ms;
 // Peers may have taken a process that was paused for longer for dead.
 constexpr duration max_pause = 1s;
-// Time after which nodes that cannot reach each other have noticed it.
-constexpr duration raise_delay = 2s;
 
 } // namespace
 
@@ -40,23 +38,10 @@
 {
     check_pause(now);
     ring_.set_nodes(nodes);
-    if (std::find(nodes.begin(), nodes.end(), self_) == nodes.end()) {
-        // It allocates nothing, so there is nothing that others may still count on.
-        reachable_fraction_ = 1;
-        current_fraction_ = 1;
-    }
-    set_reachable_fraction(reachable_fraction, now);
+    reachable_fraction_ = reachable_fraction;
     update_ownership(now);
 }
 
-void rate_limiter::set_reachable_fraction(double fraction, steady_time now)
-{
-    if (fraction != std::exchange(current_fraction_, fraction)) {
-        raise_at_ = now + raise_delay;
-    }
-    reachable_fraction_ = std::min(reachable_fraction_, fraction);
-}
-
 void rate_limiter::update_ownership(steady_time now)
 {
     allocator_.set_ownership([this](std::string_view workspace) { return ring_.owner(workspace) == self_; },
@@ -173,10 +158,6 @@
 void rate_limiter::poll(steady_time now)
 {
     check_pause(now);
-    if (reachable_fraction_ < current_fraction_ && now >= raise_at_) {
-        reachable_fraction_ = current_fraction_;
-        update_ownership(now);
-    }
     for (auto& [name, state] : workspaces_) {
         if (!state.waiters.empty()) {
             serve(name, state, now);
--- a/tests/quota/fleet_view_test.cpp
+++ b/tests/quota/fleet_view_test.cpp
@@ -9,7 +9,7 @@
 
 using addresses = std::vector<peer_address>;
 
-const fleet_view_options options{1300ms, 12s, 1s};
+const fleet_view_options options{1300ms, 2s, 12s, 1s};
 
 /// The view of node "a" of a fleet of four, all of which allocate.
 struct view_fixture {
@@ -20,6 +20,7 @@
             p.address = name;
             p.linked = true;
             p.allocates = true;
+            p.incarnation = 1;
             peers.push_back(p);
         }
         view.set_self(true, false);
@@ -33,7 +34,7 @@
     }
     void lose(std::size_t i, bool refuses = false)
     {
-        peers.at(i) = {peers.at(i).address, false, false, refuses, false, false};
+        peers.at(i) = {peers.at(i).address, false, false, refuses, false, false, 0};
         update(0ms);
     }
 
@@ -66,6 +67,7 @@
     view_fixture f;
     f.lose(0);
     f.peers.at(0).linked = true; // A new process, which does not allocate yet.
+    f.peers.at(0).incarnation = 2;
     f.update(100ms);
     CHECK(f.view.allocators() == addresses{"a", "c", "d"});
     CHECK(f.view.reachable_fraction() == 1);
@@ -139,3 +141,30 @@
     view.update(std::vector<peer_presence>{b}, options, steady_time{1h});
     CHECK(view.allocator_known());
 }
+
+// Guards against a part that two allocators grant after a cut has ended, and against a rate that stays
+// divided for long after restarts and short interruptions.
+TEST_CASE("a node that is back counts late, unless nobody else can have counted it")
+{
+    struct row {
+        duration away;
+        std::uint64_t incarnation;
+        bool late;
+    };
+    for (const auto& r :
+         std::vector<row>{{600ms, 1, false}, {700ms, 1, true}, {5s, 1, true}, {5s, 2, false}}) {
+        INFO(r.away.count() << ' ' << r.incarnation);
+        view_fixture f;
+        const auto before = f.peers.at(0);
+        f.lose(0);
+        f.update(r.away);
+        f.peers.at(0) = before;
+        f.peers.at(0).incarnation = r.incarnation;
+        f.update(0ms);
+        CHECK(f.view.reachable_fraction() == (r.late ? 0.75 : 1));
+        f.update(1999ms);
+        CHECK(f.view.reachable_fraction() == (r.late ? 0.75 : 1));
+        f.update(1ms);
+        CHECK(f.view.reachable_fraction() == 1);
+    }
+}
--- a/tests/quota/rate_fleet.h
+++ b/tests/quota/rate_fleet.h
@@ -230,6 +230,7 @@
         p.suspect = p.linked && (now_ - n.heard[k] > suspect_timeout || misses_this);
         p.refuses = resets(i, k) && refuses;
         p.allocates = p.linked && peer.allocates;
+        p.incarnation = p.linked ? peer.incarnation : 0;
         return p;
     }
 
