Encode the status for missed peers only when there are some, share is_success

Found in a second reading; no change of behaviour. publish_status encoded a second status each time although it is needed only while a peer is overdue. span_exporter and standin_caller tested for the 2xx class with the comparison that is now http_status::is_success.

--- a/src/observe/span_exporter.cpp
+++ b/src/observe/span_exporter.cpp
@@ -1,6 +1,7 @@
 #include "include/observe/span_exporter.h"
 
 #include "include/http/http_client.h"
+#include "include/http/http_status.h"
 
 #include <algorithm>
 #include <iterator>
@@ -81,7 +82,7 @@
     call.request.body = otlp_json(batch, options);
     call.timeout = options.timeout;
     client.start(std::move(call), [self = shared_from_this(), count](const http_result& result) {
-        const bool accepted = result.ok && result.response.status >= 200 && result.response.status < 300;
+        const bool accepted = result.ok && http_status::is_success(result.response.status);
         self->on_export_done(count, accepted);
     });
 }
--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -244,10 +244,9 @@
     auto status = events_.own_status();
     const auto payload = encode(status);
     status.misses_receiver = true;
-    const auto to_missed = encode(status);
     const auto copy = all_links_;
     for (const auto& link : copy) {
-        link->send_frame(frame_type::status, 0, is_overdue(*link) ? to_missed : payload);
+        link->send_frame(frame_type::status, 0, is_overdue(*link) ? encode(status) : payload);
     }
 }
 
--- a/tools/standin_caller/load_generator.cpp
+++ b/tools/standin_caller/load_generator.cpp
@@ -1,5 +1,6 @@
 #include "tools/standin_caller/load_generator.h"
 
+#include "include/http/http_status.h"
 #include "tools/standin_common/answer_body.h"
 #include "tools/standin_common/timers.h"
 #include "tools/standin_common/wire_names.h"
@@ -122,7 +123,7 @@
     const auto& response = answer.response;
     const bool from_target = find_header(response.headers, signature_header) != nullptr;
     const auto status = std::to_string(response.status);
-    if (response.status >= 200 && response.status < 300) {
+    if (http_status::is_success(response.status)) {
         const bool whole = from_target && is_valid_answer(response.body, r.attempt_id);
         return {whole ? request_outcome::whole : request_outcome::wrong, status, false};
     }
