Tell the era of the store in its answers, log lines and metrics

The log can't tell a reader that goes on from a position of another history from one that was told that its position is gone: no line named the store's era or the position. No decision changes here.

Each answer's era is recorded (wh_store_era, wh_store_era_changes_total, "store returned from an older copy") and passed on with pages and acknowledged writes; an era that is missing or unreadable counts as none. "store lost", "store regained" and "nodes not read" tell the position, "store table read" a full read.

--- a/include/store/row_store.h
+++ b/include/store/row_store.h
@@ -2,6 +2,7 @@
 
 #include "include/core/clock.h"
 #include "include/core/result.h"
+#include "include/store/store_position.h"
 
 #include <cstdint>
 #include <functional>
@@ -27,6 +28,7 @@
     std::vector<store_row> rows;
     std::uint64_t version = 0; ///< Newest transaction version covered by the page.
     bool truncated = false;    ///< More rows follow after the last one.
+    std::uint64_t era = 0;     ///< Of the store at the time of the answer; 0 if it names none.
 };
 
 /// Condition of a conditional write: the version that the row must have for the transaction to apply. Version
@@ -65,9 +67,9 @@
     virtual void follow(const std::string& table, std::uint64_t after, std::chrono::milliseconds wait,
                         std::chrono::milliseconds timeout, std::function<void(result<store_page>)> done) = 0;
 
-    /// Applies a transaction. Reports the version assigned to it.
+    /// Applies a transaction. Reports its position in the store's history.
     virtual void commit(const store_transaction& transaction,
-                        std::function<void(result<std::uint64_t>)> done) = 0;
+                        std::function<void(result<store_position>)> done) = 0;
 };
 
 } // namespace wagtailhatch
--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -99,6 +99,8 @@
         return;
     }
     store_version_ = read_rows_.version;
+    log(log_level::info, "store table read",
+        {{"table", options_.table}, {"era", page.era}, {"version", store_version_}});
     on_rows_(std::exchange(read_rows_, {}));
     if (document_) {
         apply_document(*std::exchange(document_, std::nullopt));
@@ -180,7 +182,8 @@
     backoff_ = {};
     timeout_ = options_.timeout;
     if (std::exchange(store_reachable_, true) == false) {
-        log(log_level::info, "store regained", {{"table", options_.table}, {"config", version_}});
+        log(log_level::info, "store regained",
+            {{"table", options_.table}, {"config", version_}, {"version", store_version_}});
     }
     on_store_call_end_(true);
 }
@@ -192,7 +195,10 @@
     }
     if (std::exchange(store_reachable_, false) != false) {
         log(log_level::warning, "store lost",
-            {{"table", options_.table}, {"error", reason.message()}, {"config", version_}});
+            {{"table", options_.table},
+             {"error", reason.message()},
+             {"config", version_},
+             {"version", store_version_}});
     }
     on_store_call_end_(false);
     if (reason.code == errc::timeout) {
--- a/src/membership/node_registry.cpp
+++ b/src/membership/node_registry.cpp
@@ -75,12 +75,12 @@
 {
     store_transaction t;
     t.set.push_back({nodes_table, self_.address, self_.service + ' ' + self_.data_centre, 0, false});
-    store_.commit(t, [this, alive = std::weak_ptr{alive_}](const result<std::uint64_t>& version) {
+    store_.commit(t, [this, alive = std::weak_ptr{alive_}](const result<store_position>& version) {
         if (alive.expired()) {
             return;
         }
         if (version) {
-            own_version_ = *version;
+            own_version_ = version->version;
             write_backoff_ = {};
             read_all();
             return;
@@ -105,7 +105,8 @@
                         return;
                     }
                     if (!page) {
-                        log(log_level::warning, "nodes not read", {{"error", page.failure().message()}});
+                        log(log_level::warning, "nodes not read",
+                            {{"error", page.failure().message()}, {"version", position_}});
                         read_backoff_ = next_backoff(read_backoff_);
                         run_after(read_backoff_, [this, pass] { read(pass, {}); });
                         return;
@@ -117,6 +118,8 @@
                         return;
                     }
                     position_ = page->version;
+                    log(log_level::info, "store table read",
+                        {{"table", nodes_table}, {"era", page->era}, {"version", position_}});
                     events_.read();
                     run_after(options_.pause, [this, pass] { follow(pass); });
                 });
@@ -177,7 +180,7 @@
         t.preconditions.push_back({nodes_table, self_.address, own_version_});
     }
     t.remove.push_back({nodes_table, self_.address, {}, 0, false});
-    store_.commit(t, [done = std::move(done)](const result<std::uint64_t>& version) {
+    store_.commit(t, [done = std::move(done)](const result<store_position>& version) {
         if (!version) {
             log(log_level::warning, "own row not removed", {{"error", version.failure().message()}});
         }
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -77,7 +77,8 @@
         return http.failure();
     }
     http_ = std::move(*http);
-    client_ = platform::make_store_client(*http_, {settings_.store});
+    store_era_.on_change([this](std::uint64_t era, std::uint64_t before) { on_store_era(era, before); });
+    client_ = platform::make_store_client(*http_, {settings_.store}, store_era_);
     store_ = make_metered_row_store(*client_, stats_);
     if (auto done = listen(settings_.readiness, [this](auto exchange) { serve_readiness(*exchange); });
         !done) {
@@ -123,6 +124,17 @@
     return true;
 }
 
+void control_plane::on_store_era(std::uint64_t era, std::uint64_t before)
+{
+    stats_.gauge("wh_store_era", "Newest known era of the store").set(static_cast<double>(era));
+    if (before == 0) {
+        log(log_level::info, "store era", {{"era", era}});
+        return;
+    }
+    stats_.counter("wh_store_era_changes_total", "Returns of the store from an older copy").add();
+    log(log_level::warning, "store returned from an older copy", {{"era", era}, {"before", before}});
+}
+
 void control_plane::serve_readiness(http_exchange& exchange) const
 {
     const bool asked = exchange.request().target == platform::readiness_path;
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -11,6 +11,7 @@
 #include "include/membership/target_tracker.h"
 #include "include/observe/metrics.h"
 #include "include/store/row_store.h"
+#include "include/store/store_era.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -84,6 +85,7 @@
     void set_seeds(const std::vector<peer_address>& seeds) { events_.found(seeds); }
 
 private:
+    void on_store_era(std::uint64_t era, std::uint64_t before);
     void serve_readiness(http_exchange& exchange) const;
     void serve_control(const std::shared_ptr<http_exchange>& exchange);
     void serve_metrics(const std::shared_ptr<http_exchange>& exchange);
@@ -102,6 +104,7 @@
     metrics& stats_;
     control_events events_;
     std::unique_ptr<http_client> http_;
+    store_era store_era_;
     std::unique_ptr<row_store> client_; ///< Client of the platform's store.
     std::unique_ptr<row_store> store_;  ///< Wraps client_ and counts its calls.
     std::unique_ptr<config_follower> config_;
--- a/src/store/metered_row_store.cpp
+++ b/src/store/metered_row_store.cpp
@@ -96,7 +96,7 @@
     }
 
     void commit(const store_transaction& transaction,
-                std::function<void(result<std::uint64_t>)> done) override
+                std::function<void(result<store_position>)> done) override
     {
         store_.commit(transaction, commits_.counted(std::move(done)));
     }
--- a/tests/membership/node_registry_test.cpp
+++ b/tests/membership/node_registry_test.cpp
@@ -53,7 +53,7 @@
     registry_fixture f;
     settle(f.io);
     CHECK(f.store.reads.empty());
-    answer_oldest(f.store.writes, result<std::uint64_t>{5});
+    answer_oldest(f.store.writes, result<store_position>{store_position{1, 5}});
     REQUIRE(f.store.reads.size() == 1);
     answer_oldest(f.store.reads, result<store_page>{page_of({"10.0.0.2:1"}, 6)});
     CHECK(f.found == std::vector<peer_address>{"10.0.0.2:1"});
@@ -67,7 +67,7 @@
 {
     registry_fixture f;
     REQUIRE(run_until(f.io, [&] { return f.store.reads.size() == 1; }));
-    answer_oldest(f.store.writes, result<std::uint64_t>{5});
+    answer_oldest(f.store.writes, result<store_position>{store_position{1, 5}});
     REQUIRE(f.store.reads.size() == 2);
     answer_oldest(f.store.reads, result<store_page>{page_of({"10.0.0.2:1"}, 4)});
     answer_oldest(f.store.reads, result<store_page>{page_of({"10.0.0.3:1"}, 6)});
@@ -81,7 +81,7 @@
 TEST_CASE("an inactive registry makes no call and reads all rows when it becomes active again")
 {
     registry_fixture f;
-    answer_oldest(f.store.writes, result<std::uint64_t>{5});
+    answer_oldest(f.store.writes, result<store_position>{store_position{1, 5}});
     answer_oldest(f.store.reads, result<store_page>{page_of({"10.0.0.2:1"}, 6)});
     REQUIRE(run_until(f.io, [&] { return f.store.follows.size() == 1; }));
     f.registry->set_active(false);
@@ -99,7 +99,7 @@
 TEST_CASE("leaving removes only the row that this process has written")
 {
     registry_fixture f;
-    answer_oldest(f.store.writes, result<std::uint64_t>{5});
+    answer_oldest(f.store.writes, result<store_position>{store_position{1, 5}});
     f.registry->leave([] {});
     REQUIRE(f.store.last_transaction.remove.size() == 1);
     REQUIRE(f.store.last_transaction.preconditions.size() == 1);
@@ -111,7 +111,7 @@
 TEST_CASE("the fleet counts as read once all rows have been")
 {
     registry_fixture f;
-    answer_oldest(f.store.writes, result<std::uint64_t>{5});
+    answer_oldest(f.store.writes, result<store_position>{store_position{1, 5}});
     CHECK(f.full_reads == 0);
     auto first = page_of({"10.0.0.2:1"}, 6);
     first.truncated = true;
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-std::string answer(int status, const std::string& body)
+std::string answer(int status, const std::string& body, const std::string& headers = {})
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) +
-           "\r\n\r\n" + body;
+           "\r\n" + headers + "\r\n" + body;
 }
 
 /// A server with one fixed reaction to requests, and a store client connected to it.
@@ -21,7 +21,7 @@
     explicit fixture(const raw_server::action& a)
         : server{io, [a](std::size_t) { return a; }}
         , http{std::move(*make_http_client(io, {}))}
-        , store{platform::make_store_client(*http, {server.address(), 300ms})}
+        , store{platform::make_store_client(*http, {server.address(), 300ms}, era)}
     {
     }
 
@@ -32,17 +32,18 @@
         run_until(io, [&] { return out.has_value(); });
         return *out;
     }
-    result<std::uint64_t> commit()
+    result<store_position> commit()
     {
-        std::optional<result<std::uint64_t>> out;
+        std::optional<result<store_position>> out;
         store->commit({{{"t", "k", 3}}, {{"t", "k", "v", 0, false}}, {}},
-                      [&](result<std::uint64_t> r) { out = std::move(r); });
+                      [&](result<store_position> r) { out = std::move(r); });
         run_until(io, [&] { return out.has_value(); });
         return *out;
     }
 
     asio::io_context io{1};
     raw_server server;
+    store_era era;
     std::unique_ptr<http_client> http;
     std::unique_ptr<row_store> store;
 };
@@ -127,7 +128,7 @@
         CHECK(done.failure().code == code);
     }
     fixture good{{answer(200, R"({"Ver":12})")}};
-    CHECK(*good.commit() == 12);
+    CHECK(good.commit()->version == 12);
     CHECK(good.server.received(0).find(R"("Precondition":[{"Key":"k","Table":"t","Ver":3,"part":""}])") !=
           std::string::npos);
 }
@@ -144,3 +145,24 @@
     fixture no_base64{{answer(200, R"({"Rows":[{"Key":"k","Value":"?"}],"Ver":1})")}};
     CHECK(no_base64.read()->rows.empty());
 }
+
+// Guards against positions of different eras that look alike because the era of an answer is dropped or
+// misread.
+TEST_CASE("the era that an answer names is recorded and passed on")
+{
+    fixture read{{answer(200, R"({"Rows":[],"Ver":9})", "Store-Era: 3\r\n")}};
+    CHECK(read.read()->era == 3);
+    CHECK(read.era.newest() == 3);
+    fixture write{{answer(200, R"({"Ver":12})", "store-era: 4\r\n")}};
+    CHECK(*write.commit() == store_position{4, 12});
+    fixture failed{{answer(410, "{}", "Store-Era: 5\r\n")}};
+    CHECK_FALSE(failed.read());
+    CHECK(failed.era.newest() == 5);
+    for (const std::string odd : {"", "Store-Era: \r\n", "Store-Era: x\r\n", "Store-Era: -1\r\n",
+                                  "Store-Era: 7x\r\n", "Store-Era: 99999999999999999999\r\n"}) {
+        INFO(odd);
+        fixture f{{answer(200, R"({"Rows":[],"Ver":9})", odd)}};
+        CHECK(f.read()->era == 0);
+        CHECK(f.era.newest() == 0);
+    }
+}
--- a/tests/store/metered_row_store_test.cpp
+++ b/tests/store/metered_row_store_test.cpp
@@ -29,8 +29,8 @@
     answer_oldest(inner.follows, result<store_page>{make_error(errc::lost_history, "gone")});
     store->follow("t", 7, 1s, 1s, keep);
     answer_oldest(inner.follows, result<store_page>{make_error(errc::malformed, "not a page")});
-    store->commit({}, [&](const result<std::uint64_t>& r) { failures.push_back(r.failure().code); });
-    answer_oldest(inner.writes, result<std::uint64_t>{make_error(errc::timeout, "no answer")});
+    store->commit({}, [&](const result<store_position>& r) { failures.push_back(r.failure().code); });
+    answer_oldest(inner.writes, result<store_position>{make_error(errc::timeout, "no answer")});
     CHECK(version == 7);
     CHECK(failures == std::vector<std::error_code>{errc::lost_history, errc::malformed, errc::timeout});
     const auto text = registry.text();
--- a/tests/store/scripted_store.h
+++ b/tests/store/scripted_store.h
@@ -25,7 +25,7 @@
         follows.push_back(std::move(done));
     }
     void commit(const store_transaction& transaction,
-                std::function<void(result<std::uint64_t>)> done) override
+                std::function<void(result<store_position>)> done) override
     {
         last_transaction = transaction;
         writes.push_back(std::move(done));
@@ -33,7 +33,7 @@
 
     std::deque<std::function<void(result<store_page>)>> reads;
     std::deque<std::function<void(result<store_page>)>> follows;
-    std::deque<std::function<void(result<std::uint64_t>)>> writes;
+    std::deque<std::function<void(result<store_position>)>> writes;
     store_transaction last_transaction;
     std::uint64_t followed_after = 0;
     std::string read_from;                    ///< First key of the newest read().
