--- a/tests/config/config_follower_test.cpp
+++ b/tests/config/config_follower_test.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-store_page page(const std::string& document, std::uint64_t version)
+store_page page(const std::string& document, std::uint64_t version, std::uint64_t era = 0)
 {
-    return {{{"op", "config", document, version, false}}, version, false};
+    return {{{"op", "config", document, version, false}}, version, false, era};
 }
 
 // Shortest time after which a node counts as connected to the store again.
@@ -236,3 +236,18 @@
     f.complete_call(f.store.reads, store_page{{}, 11, true});
     CHECK(f.store.follows.size() == 1);
 }
+
+// The store returns from an older copy at version 41, the operators' next document is acknowledged as version
+// 42, and the counter has passed the follower's position when the follower asks again, so there is no error.
+// Guards against the acknowledged document never coming into force.
+TEST_CASE(
+    "a configuration written after the store's return is read although its version was given out before")
+{
+    fixture f;
+    f.complete_call(f.store.reads, page("5", 61, 1));
+    f.complete_call(f.store.follows, errc::unavailable);
+    f.complete_call(f.store.follows, store_page{{}, 72, false, 2});
+    f.complete_call(f.store.reads, page("6", 42, 2));
+    CHECK(f.applied == std::vector<std::uint64_t>{5, 6});
+    CHECK(f.store.followed_after == 42);
+}
--- a/tests/membership/node_registry_test.cpp
+++ b/tests/membership/node_registry_test.cpp
@@ -121,3 +121,15 @@
     CHECK(f.full_reads == 1);
     CHECK(f.found.size() == 2);
 }
+
+// The store returns without the row that this node has written. Guards against a node that no node which
+// starts afterwards finds.
+TEST_CASE("the own row is written again after the store has returned from an older copy")
+{
+    registry_fixture f;
+    answer_oldest(f.store.writes, result<store_position>{store_position{1, 5}});
+    answer_oldest(f.store.reads, result<store_page>{store_page{{}, 6, false, 1}});
+    REQUIRE(run_until(f.io, [&] { return f.store.follows.size() == 1; }));
+    answer_oldest(f.store.follows, result<store_page>{store_page{{}, 9, false, 2}});
+    CHECK(run_until(f.io, [&] { return f.store.writes.size() == 1; }));
+}
