Hold a position in a table of the store only within one era

Cause: a position in the store's history was compared across histories. The follower stood at version 61, the store came back at 41, the operators' next document was acknowledged at 42, and once other writers had brought the counter past 61 the feed after 61 told nothing and no error either. The logic stood twice, in config_follower and in node_registry, and so did the fault.

table_reader now owns the position, the full read, the feed and the backoff for both. In a new era, or when the version goes back, it reads the whole table again; pages of two eras are never put together, and an answer of an older era is dropped. A change of era heard by one reader replaces the waiting call of the other. An answer without an era counts as one of the known era.

Related paths: the feed of the nodes table had the same fault, and in addition didn't read again after changes that were cut short.

--- a/include/membership/node_registry.h
+++ b/include/membership/node_registry.h
@@ -3,9 +3,10 @@
 #include "include/core/clock.h"
 #include "include/membership/member.h"
 #include "include/store/row_store.h"
+#include "include/store/store_position.h"
+#include "include/store/table_reader.h"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -29,7 +30,7 @@
 /// remain, at the cost of an occasional connection attempt. The rows are read after the own row is written,
 /// so that of two nodes that start simultaneously at least one finds the other, even if neither follows the
 /// table. Not thread-safe.
-class node_registry {
+class node_registry final : private table_events {
 public:
     struct events {
         std::function<void(const std::vector<peer_address>&)> found;
@@ -39,7 +40,7 @@
 
     node_registry(asio::io_context& io, row_store& store, member self, node_registry_options options,
                   events on);
-    ~node_registry() = default;
+    ~node_registry() override = default;
     node_registry(const node_registry&) = delete;
     node_registry& operator=(const node_registry&) = delete;
 
@@ -49,31 +50,31 @@
     void leave(std::function<void()> done);
     void stop();
 
-    /// An inactive registry stops after the call in progress, and reads all rows when it becomes active
-    /// again.
-    void set_active(bool active);
+    /// As table_reader::set_active().
+    void set_active(bool active) { reader_.set_active(active); }
+
+    /// As table_reader::on_era().
+    void on_store_era(std::uint64_t era) { reader_.on_era(era); }
 
 private:
+    // table_events
+    void on_read_begin() override {}
+    void on_read_page(const std::vector<store_row>& rows, bool last) override;
+    void on_read_end(store_position as_of, bool complete) override;
+    void on_changes(const std::vector<store_row>& rows, store_position as_of) override;
+    void on_late_rows(const std::vector<store_row>& rows) override { on_read_page(rows, true); }
+
     void write_own();
-    void read_all();
-    void read(std::uint64_t pass, const std::string& from);
-    void follow(std::uint64_t pass);
-    void apply(const store_page& page);
     void run_after(duration wait, std::function<void()> task);
 
     asio::io_context& io_;
     row_store& store_;
     member self_;
-    node_registry_options options_;
     events events_;
+    table_reader reader_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-    std::uint64_t position_ = 0;
-    std::uint64_t pass_ = 0; ///< Incremented by each read of all rows; earlier passes end.
-    bool active_ = true;
-    bool call_in_progress_ = false; ///< A call of the current pass, or the pause before it, is in progress.
     std::uint64_t own_version_ = 0; ///< Of the own row; 0 while the store has not acknowledged it.
     duration write_backoff_{};
-    duration read_backoff_{};
 };
 
 } // namespace wagtailhatch
--- a/src/membership/node_registry.cpp
+++ b/src/membership/node_registry.cpp
@@ -20,6 +20,19 @@
     return std::clamp(last * 2, initial_backoff, max_backoff);
 }
 
+table_reader_options make_reader_options(const node_registry_options& options)
+{
+    table_reader_options out;
+    out.table = nodes_table;
+    out.wait = options.wait;
+    out.timeout = options.timeout;
+    out.max_timeout = options.timeout;
+    out.pause = options.pause;
+    out.initial_backoff = initial_backoff;
+    out.max_backoff = max_backoff;
+    return out;
+}
+
 } // namespace
 
 node_registry::node_registry(asio::io_context& io, row_store& store, member self,
@@ -27,8 +40,8 @@
     : io_{io}
     , store_{store}
     , self_{std::move(self)}
-    , options_{options}
     , events_{std::move(on)}
+    , reader_{io, store, make_reader_options(options), *this}
 {
 }
 
@@ -36,29 +49,16 @@
 {
     write_own();
     run_after(first_read_delay, [this] {
-        if (pass_ == 0) {
-            read_all();
+        if (!reader_.started()) {
+            reader_.read();
         }
     });
 }
 
-void node_registry::set_active(bool active)
-{
-    active_ = active;
-    if (active_ && pass_ > 0 && !call_in_progress_) {
-        read_all();
-    }
-}
-
-void node_registry::read_all()
-{
-    call_in_progress_ = true;
-    read(++pass_, {});
-}
-
 void node_registry::stop()
 {
     alive_.reset();
+    reader_.stop();
 }
 
 void node_registry::run_after(duration wait, std::function<void()> task)
@@ -82,7 +82,7 @@
         if (version) {
             own_version_ = version->version;
             write_backoff_ = {};
-            read_all();
+            reader_.read();
             return;
         }
         log(log_level::warning, "own row not written", {{"error", version.failure().message()}});
@@ -91,75 +91,10 @@
     });
 }
 
-void node_registry::read(std::uint64_t pass, const std::string& from)
-{
-    store_.read(nodes_table, from, options_.timeout,
-                [this, pass, alive = std::weak_ptr{alive_}](result<store_page> page) {
-                    if (alive.expired()) {
-                        return;
-                    }
-                    if (page) {
-                        apply(*page);
-                    }
-                    if (pass != pass_) {
-                        return;
-                    }
-                    if (!page) {
-                        log(log_level::warning, "nodes not read",
-                            {{"error", page.failure().message()}, {"version", position_}});
-                        read_backoff_ = next_backoff(read_backoff_);
-                        run_after(read_backoff_, [this, pass] { read(pass, {}); });
-                        return;
-                    }
-                    read_backoff_ = {};
-                    if (page->truncated && !page->rows.empty()) {
-                        // The smallest key after the last one.
-                        read(pass, page->rows.back().key + '\0');
-                        return;
-                    }
-                    position_ = page->version;
-                    log(log_level::info, "store table read",
-                        {{"table", nodes_table}, {"era", page->era}, {"version", position_}});
-                    events_.read();
-                    run_after(options_.pause, [this, pass] { follow(pass); });
-                });
-}
-
-void node_registry::follow(std::uint64_t pass)
-{
-    if (pass != pass_) {
-        return;
-    }
-    if (!active_) {
-        call_in_progress_ = false;
-        return;
-    }
-    store_.follow(nodes_table, position_, options_.wait, options_.timeout,
-                  [this, pass, alive = std::weak_ptr{alive_}](result<store_page> page) {
-                      if (alive.expired() || pass != pass_) {
-                          return;
-                      }
-                      if (!page) {
-                          read_backoff_ = next_backoff(read_backoff_);
-                          const bool again = page.failure().code == errc::lost_history;
-                          run_after(read_backoff_,
-                                    [this, pass, again] { again ? read(pass, {}) : follow(pass); });
-                          return;
-                      }
-                      read_backoff_ = {};
-                      position_ = std::max(position_, page->version);
-                      apply(*page);
-                      run_after(options_.pause, [this, pass] { follow(pass); });
-                  });
-}
-
-void node_registry::apply(const store_page& page)
+void node_registry::on_read_page(const std::vector<store_row>& rows, bool /*last*/)
 {
     std::vector<peer_address> found;
-    for (const auto& row : page.rows) {
-        if (row.table != nodes_table && !row.table.empty()) {
-            continue;
-        }
+    for (const auto& row : rows) {
         if (row.removed) {
             events_.removed(row.key);
         }
@@ -172,6 +107,16 @@
     }
 }
 
+void node_registry::on_read_end(store_position /*as_of*/, bool /*complete*/)
+{
+    events_.read();
+}
+
+void node_registry::on_changes(const std::vector<store_row>& rows, store_position /*as_of*/)
+{
+    on_read_page(rows, true);
+}
+
 void node_registry::leave(std::function<void()> done)
 {
     store_transaction t;
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -115,8 +115,8 @@
         node_registry::events{events_.found, events_.removed, events_.fleet_read});
     events_.found(settings_.seeds);
     config_->on_rows([this](const followed_rows& r) {
-        events_.evacuation(r.full_read ? evacuation_.on_read(r.rows, r.version)
-                                       : evacuation_.on_changes(r.rows, r.version));
+        events_.evacuation(r.full_read ? evacuation_.on_read(r.rows, r.as_of.version)
+                                       : evacuation_.on_changes(r.rows, r.as_of.version));
     });
     config_->on_store_call_end(events_.store_call_end);
     config_->start();
@@ -127,6 +127,8 @@
 void control_plane::on_store_era(std::uint64_t era, std::uint64_t before)
 {
     stats_.gauge("wh_store_era", "Newest known era of the store").set(static_cast<double>(era));
+    config_->on_store_era(era);
+    registry_->on_store_era(era);
     if (before == 0) {
         log(log_level::info, "store era", {{"era", era}});
         return;
--- a/tests/config/config_follower_test.cpp
+++ b/tests/config/config_follower_test.cpp
@@ -166,7 +166,7 @@
         store_page{{{"op", "config", "5", 10, false}, {"op", "mark/a", "x", 4, false}}, 10, false});
     REQUIRE(f.rows_seen.size() == 1);
     CHECK(f.rows_seen[0].full_read);
-    CHECK(f.rows_seen[0].version == 10);
+    CHECK(f.rows_seen[0].as_of.version == 10);
     CHECK(f.rows_seen[0].rows.at(0).key == "mark/a");
     CHECK(f.versions_at_rows[0] == 0);
     CHECK(f.applied == std::vector<std::uint64_t>{5});
@@ -175,7 +175,7 @@
     f.complete_call(f.store.follows, store_page{{{"op", "mark/a", "", 12, true}}, 12, false});
     REQUIRE(f.rows_seen.size() == 2);
     CHECK_FALSE(f.rows_seen[1].full_read);
-    CHECK(f.rows_seen[1].version == 12);
+    CHECK(f.rows_seen[1].as_of.version == 12);
     CHECK(f.rows_seen[1].rows.at(0).removed);
 }
 
@@ -198,7 +198,7 @@
     REQUIRE(f.rows_seen.size() == 1);
     CHECK(f.rows_seen[0].rows.size() == 1);
     CHECK(f.rows_seen[0].rows.at(0).key == "mark/b");
-    CHECK(f.rows_seen[0].version == 12);
+    CHECK(f.rows_seen[0].as_of.version == 12);
     CHECK(f.store.followed_after == 12);
     CHECK(f.applied == std::vector<std::uint64_t>{6});
 }
@@ -216,7 +216,7 @@
     f.complete_call(f.store.reads, page("6", 22));
     REQUIRE(f.rows_seen.size() == 4);
     CHECK(f.rows_seen[3].full_read);
-    CHECK(f.rows_seen[3].version == 22);
+    CHECK(f.rows_seen[3].as_of.version == 22);
     CHECK(f.applied == std::vector<std::uint64_t>{5, 6});
 }
 
