--- a/include/peer/peer_messages.h
+++ b/include/peer/peer_messages.h
@@ -34,6 +34,7 @@
     store_contact, ///< The store has just answered the sender. Without payload.
     rate_request,  ///< Requests tokens of a workspace's rate.
     rate_grant,    ///< Answers a rate_request.
+    store_eras,    ///< Eras of the store that the sender's messages refer to. Unknown to older nodes.
 };
 
 /// Status that a node publishes to its peers.
@@ -56,6 +57,14 @@
     std::vector<peer_address> known; ///< The sender and the nodes that it has links to.
 };
 
+/// Eras of the store that the following messages of the sender refer to. Sent before the first such message
+/// and when they change, in a frame of its own because older nodes read no further fields of a status.
+struct store_eras {
+    std::uint64_t newest = 0; ///< That the sender has heard of.
+
+    bool operator==(const store_eras&) const = default;
+};
+
 struct config_message {
     std::uint64_t version = 0;
     std::string document; ///< Unchanged, as written by the operators.
@@ -72,6 +81,7 @@
 std::string encode(const crash_report& m);
 std::string encode(const rate_request& m);
 std::string encode(const rate_grant& m);
+std::string encode(const store_eras& m);
 
 /// A complete answer, or the head of a streamed one.
 struct reply_message {
@@ -95,5 +105,6 @@
 std::optional<crash_report> decode_crash(std::string_view bytes);
 std::optional<rate_request> decode_rate_request(std::string_view bytes);
 std::optional<rate_grant> decode_rate_grant(std::string_view bytes);
+std::optional<store_eras> decode_store_eras(std::string_view bytes);
 
 } // namespace wagtailhatch
--- a/include/store/table_reader.h
+++ b/include/store/table_reader.h
@@ -37,6 +37,9 @@
 public:
     virtual ~table_events() = default;
 
+    /// The reader has entered an era of the store: what earlier ones held may be lost.
+    virtual void on_era(std::uint64_t /*era*/) {}
+
     /// A full read begins. The rows of an earlier one that has not ended are void.
     virtual void on_read_begin() = 0;
 
@@ -101,6 +104,7 @@
     std::optional<std::string> next_key(const std::string& from, const store_page& page);
     void follow();
     void on_changes(const store_page& page);
+    void enter_era(std::uint64_t era);
     /// The reason why the page does not continue this reader's history, if it does not.
     std::optional<error> history_break(const store_page& page) const;
     std::function<void(result<store_page>)> on_answer(page_handler handle);
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -30,11 +30,12 @@
 
 } // namespace
 
-control_plane::control_plane(asio::io_context& io, const clock& time, node_settings settings, metrics& stats,
-                             control_events events)
+control_plane::control_plane(asio::io_context& io, const clock& time, node_settings settings,
+                             std::uint64_t incarnation, metrics& stats, control_events events)
     : io_{io}
     , time_{time}
     , settings_{std::move(settings)}
+    , incarnation_{incarnation}
     , stats_{stats}
     , events_{std::move(events)}
     , evacuation_{platform::parse_evacuation_row}
@@ -110,6 +111,7 @@
     self.address = settings_.peers;
     self.service = settings_.service;
     self.data_centre = settings_.data_centre;
+    self.incarnation = incarnation_;
     registry_ = std::make_unique<node_registry>(
         io_, *store_, self, node_registry_options{},
         node_registry::events{events_.found, events_.removed, events_.fleet_read});
@@ -127,6 +129,7 @@
 void control_plane::on_store_era(std::uint64_t era, std::uint64_t before)
 {
     stats_.gauge("wh_store_era", "Newest known era of the store").set(static_cast<double>(era));
+    events_.store_era(era);
     config_->on_store_era(era);
     registry_->on_store_era(era);
     if (before == 0) {
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -39,6 +39,8 @@
     std::function<void()> fleet_read;
     /// A peer's row was removed from the store.
     std::function<void(const peer_address&)> removed;
+    /// A newer era of the store is known.
+    std::function<void(std::uint64_t)> store_era;
     /// A call of the configuration's follower has ended; true if the store has answered it.
     std::function<void(bool)> store_call_end;
     /// Requests the status of the traffic plane as JSON, delivered on the control thread.
@@ -49,8 +51,9 @@
 /// endpoint. Single-threaded.
 class control_plane {
 public:
-    control_plane(asio::io_context& io, const clock& time, node_settings settings, metrics& stats,
-                  control_events events);
+    /// incarnation: of this node's process.
+    control_plane(asio::io_context& io, const clock& time, node_settings settings, std::uint64_t incarnation,
+                  metrics& stats, control_events events);
     ~control_plane();
     control_plane(const control_plane&) = delete;
     control_plane& operator=(const control_plane&) = delete;
@@ -81,6 +84,15 @@
     /// Records that the target with this id has said in a response that it leaves.
     void on_target_leaving(const std::string& id);
 
+    /// A peer has heard of this era of the store.
+    void on_peer_store_era(std::uint64_t era) { store_era_.record(era); }
+
+    /// A peer has ended for good.
+    void on_peer_left(const peer_address& address, std::uint64_t incarnation)
+    {
+        registry_->on_node_left(address, incarnation);
+    }
+
     /// Applies the seeds of a changed settings file.
     void set_seeds(const std::vector<peer_address>& seeds) { events_.found(seeds); }
 
@@ -101,6 +113,7 @@
     asio::io_context& io_;
     const clock& time_;
     node_settings settings_;
+    std::uint64_t incarnation_;
     metrics& stats_;
     control_events events_;
     std::unique_ptr<http_client> http_;
--- a/src/node/node_supervisor.cpp
+++ b/src/node/node_supervisor.cpp
@@ -75,6 +75,9 @@
     events.removed = [this, &traffic](const peer_address& node) {
         asio::post(traffic, [this, node] { traffic_->forget(node); });
     };
+    events.store_era = [this, &traffic](std::uint64_t era) {
+        asio::post(traffic, [this, era] { traffic_->set_store_era(era); });
+    };
     events.store_call_end = [this, &traffic](bool answered) {
         asio::post(traffic, [this, answered] { traffic_->on_store_call_end(answered); });
     };
@@ -88,43 +91,32 @@
 
 traffic_events node_supervisor::make_traffic_events()
 {
-    auto& control = control_thread_.io();
-    traffic_events events;
-    events.peer_config = [this, &control](std::uint64_t, std::string document) {
-        asio::post(control, [this, document = std::move(document)] {
+    // Runs a task with the control plane on its thread.
+    const auto post = [this, &control = control_thread_.io()](auto task) {
+        asio::post(control, [this, task = std::move(task)] {
             if (control_) {
-                control_->offer_config(document);
+                task(*control_);
             }
         });
     };
-    events.set_store_reader = [this, &control](bool reads) {
-        asio::post(control, [this, reads] {
-            if (control_) {
-                control_->set_store_reader(reads);
-            }
-        });
+    traffic_events events;
+    events.peer_config = [post](std::uint64_t, std::string document) {
+        post([document = std::move(document)](control_plane& c) { c.offer_config(document); });
     };
-    events.target_leaving = [this, &control](const std::string& id) {
-        asio::post(control, [this, id] {
-            if (control_) {
-                control_->on_target_leaving(id);
-            }
-        });
+    events.set_store_reader = [post](bool reads) {
+        post([reads](control_plane& c) { c.set_store_reader(reads); });
     };
-    events.rates_known = [this, &control] {
-        asio::post(control, [this] {
-            if (control_) {
-                control_->on_rates_known();
-            }
-        });
+    events.target_leaving = [post](const std::string& id) {
+        post([id](control_plane& c) { c.on_target_leaving(id); });
     };
-    events.target_down = [this, &control] {
-        asio::post(control, [this] {
-            if (control_) {
-                control_->target_down();
-            }
-        });
+    events.peer_left = [post](const peer_address& address, std::uint64_t incarnation) {
+        post([address, incarnation](control_plane& c) { c.on_peer_left(address, incarnation); });
+    };
+    events.peer_store_era = [post](std::uint64_t era) {
+        post([era](control_plane& c) { c.on_peer_store_era(era); });
     };
+    events.rates_known = [post] { post([](control_plane& c) { c.on_rates_known(); }); };
+    events.target_down = [post] { post([](control_plane& c) { c.target_down(); }); };
     return events;
 }
 
@@ -135,8 +127,8 @@
     if (auto started = traffic_->start(); !started) {
         return started;
     }
-    control_ = std::make_unique<control_plane>(control_thread_.io(), clock_, settings_, metrics_,
-                                               make_control_events());
+    control_ = std::make_unique<control_plane>(control_thread_.io(), clock_, settings_,
+                                               traffic_->incarnation(), metrics_, make_control_events());
     if (auto started = control_->start(); !started) {
         return started;
     }
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -291,6 +291,7 @@
     known = status;
     on_peer_evacuation(status);
     if (status.self.state == member_state::left) {
+        events_.peer_left(status.self.address, status.self.incarnation);
         forget(status.self.address);
         refresh_members();
         return;
@@ -369,6 +370,23 @@
     mesh_.forget(node);
 }
 
+void traffic_plane::set_store_era(std::uint64_t era)
+{
+    if (era > store_era_) {
+        store_era_ = era;
+        mesh_.schedule_publish();
+    }
+}
+
+void traffic_plane::on_peer_store_era(std::uint64_t era)
+{
+    if (era > store_era_) {
+        // The peers of this node hear of it from its next status.
+        store_era_ = era;
+        events_.peer_store_era(era);
+    }
+}
+
 void traffic_plane::on_store_call_end(bool answered)
 {
     if (!answered) {
--- a/src/node/traffic_plane.h
+++ b/src/node/traffic_plane.h
@@ -49,6 +49,11 @@
     std::function<void()> rates_known;
     /// Whether this node should follow the store; if false its peers do.
     std::function<void(bool)> set_store_reader;
+    /// A peer has told that its process ends.
+    std::function<void(const peer_address&, std::uint64_t incarnation)> peer_left = [](const peer_address&,
+                                                                                       std::uint64_t) {};
+    /// A peer has heard of this era of the store.
+    std::function<void(std::uint64_t)> peer_store_era = [](std::uint64_t) {};
 };
 
 /// Data plane of a node: connections of callers, links to peers and the connection to the target.
@@ -77,6 +82,9 @@
     /// The store has told which nodes there are.
     void on_fleet_read();
 
+    /// Sets the newest era of the store that this node has heard of.
+    void set_store_era(std::uint64_t era);
+
     /// Records the end of a store call of the control plane, and whether the store has answered it.
     void on_store_call_end(bool answered);
 
@@ -88,6 +96,9 @@
     /// because they hold requests that refer to it.
     void close();
 
+    /// Of this node's process.
+    std::uint64_t incarnation() const { return incarnation_; }
+
     /// Number of peers with an open link.
     std::size_t peers() const { return mesh_.link_count(); }
 
@@ -103,7 +114,9 @@
     config_message newest_config() const override;
     void on_peer_crash(const crash_report& report) override;
     void on_peer_store_contact(const peer_address& address) override;
+    void on_peer_store_era(std::uint64_t era) override;
     node_status own_status() override;
+    store_eras own_store_eras() const override { return {store_era_}; }
     rate_grant on_peer_rate_request(const rate_request& request) override
     {
         return router_.on_rate_request(request);
@@ -194,7 +207,8 @@
     bool rate_allocators_logged_ = true;
     bool rates_known_ = false; ///< A node that allocates rates has been known.
     store_reader_election election_;
-    bool store_contact_ = false; ///< The last status told peers that this node reads the store.
+    bool store_contact_ = false;  ///< The last status told peers that this node reads the store.
+    std::uint64_t store_era_ = 0; ///< Newest era that this node has heard of.
     drain_schedule drain_;
     evacuation_state evacuation_;
     bool leaving_announced_ = false; ///< Peers have been notified of the shutdown.
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -84,6 +84,9 @@
 
     peer_address peer; ///< Address of the peer; on an accepted link it is empty until its hello.
 
+    store_eras eras_sent;     ///< To the peer.
+    store_eras eras_received; ///< From the peer.
+
     /// Calls made by this side.
     std::unordered_map<stream_id, outgoing_call_state> calls;
     /// Calls of the peer that are not started yet: a following frame that has already arrived may cancel
--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -242,10 +242,12 @@
 {
     last_publish_ = time_.now();
     auto status = events_.own_status();
+    const auto eras = events_.own_store_eras();
     const auto payload = encode(status);
     status.misses_receiver = true;
     const auto copy = all_links_;
     for (const auto& link : copy) {
+        send_store_eras(*link, eras);
         link->send_frame(frame_type::status, 0, is_overdue(*link) ? encode(status) : payload);
     }
 }
@@ -325,8 +327,16 @@
     send_hello(link);
 }
 
+void peer_mesh::send_store_eras(peer_link& link, const store_eras& eras)
+{
+    if (link.is_open() && std::exchange(link.eras_sent, eras) != eras) {
+        link.send_frame(frame_type::store_eras, 0, encode(eras));
+    }
+}
+
 void peer_mesh::send_hello(peer_link& link)
 {
+    send_store_eras(link, events_.own_store_eras());
     link.send_frame(frame_type::hello, 0, encode(hello_message{events_.own_status(), known()}));
 }
 
--- a/src/peer/peer_mesh.h
+++ b/src/peer/peer_mesh.h
@@ -43,6 +43,9 @@
     /// The store has just answered the peer.
     virtual void on_peer_store_contact(const peer_address& address) = 0;
 
+    /// A peer has heard of this era of the store.
+    virtual void on_peer_store_era(std::uint64_t era) = 0;
+
     /// A peer requests tokens of a workspace's rate.
     virtual rate_grant on_peer_rate_request(const rate_request& request) = 0;
     virtual void on_peer_rate_grant(const rate_grant& grant) = 0;
@@ -50,6 +53,9 @@
     /// Returns this node's status.
     virtual node_status own_status() = 0;
 
+    /// Returns the eras of the store that this node's messages refer to.
+    virtual store_eras own_store_eras() const = 0;
+
     /// A peer's hello listed these nodes.
     virtual void on_peers_discovered(const std::vector<peer_address>& addresses) = 0;
 };
@@ -153,6 +159,7 @@
     duration publish_interval() const;
     duration min_publish_gap() const;
     void send_hello(peer_link& link);
+    static void send_store_eras(peer_link& link, const store_eras& eras);
     void on_hello(peer_link& link, std::string_view payload);
     void choose_link(const std::shared_ptr<peer_link>& link);
     void close_redundant(peer_link& link);
--- a/src/peer/peer_mesh_frames.cpp
+++ b/src/peer/peer_mesh_frames.cpp
@@ -57,6 +57,12 @@
             events_.on_peer_rate_grant(*grant);
         }
         return;
+    case frame_type::store_eras:
+        if (const auto eras = decode_store_eras(payload)) {
+            link.eras_received = *eras;
+            events_.on_peer_store_era(eras->newest);
+        }
+        return;
     case frame_type::reply:
     case frame_type::reply_head:
     case frame_type::reply_data:
--- a/src/peer/peer_messages.cpp
+++ b/src/peer/peer_messages.cpp
@@ -420,4 +420,19 @@
     return if_complete(r, std::move(m));
 }
 
+std::string encode(const store_eras& m)
+{
+    wire_writer w;
+    w.u64(m.newest);
+    return w.take();
+}
+
+std::optional<store_eras> decode_store_eras(std::string_view bytes)
+{
+    wire_reader r{bytes};
+    store_eras m;
+    m.newest = r.u64();
+    return if_complete(r, m);
+}
+
 } // namespace wagtailhatch
--- a/src/store/table_reader.cpp
+++ b/src/store/table_reader.cpp
@@ -43,13 +43,21 @@
     if (era <= position_.era) {
         return;
     }
-    position_ = {era, 0};
+    enter_era(era);
     if (call_in_progress_ && !stopped_) {
         log(log_level::info, "store table of an older era", {{"table", options_.table}, {"era", era}});
         read();
     }
 }
 
+void table_reader::enter_era(std::uint64_t era)
+{
+    if (era > position_.era) {
+        position_ = {era, 0};
+        events_.on_era(era);
+    }
+}
+
 void table_reader::read()
 {
     call_in_progress_ = true;
@@ -79,7 +87,7 @@
             return;
         }
         if (const auto reason = history_break(*page)) {
-            position_ = std::max(position_, {page->era, 0});
+            enter_era(page->era);
             schedule_retry(*reason);
             return;
         }
@@ -116,7 +124,7 @@
 {
     // Changes made between the pages are newer than the first page and are found by following it.
     if (pages_++ == 0) {
-        position_.era = std::max(position_.era, page.era);
+        enter_era(page.era);
         read_from_ = {position_.era, page.version};
     }
     const auto next = next_key(from, page);
--- a/tests/peer/peer_mesh_test.cpp
+++ b/tests/peer/peer_mesh_test.cpp
@@ -40,6 +40,8 @@
     void on_peer_crash(const crash_report&) override {}
     void on_peer_store_contact(const peer_address& address) override { ++store_contacts[address]; }
     node_status own_status() override { return {}; }
+    void on_peer_store_era(std::uint64_t era) override { eras.push_back(era); }
+    store_eras own_store_eras() const override { return own_eras; }
     rate_grant on_peer_rate_request(const rate_request& request) override
     {
         return {request.workspace, request.tokens, request.sequence, {}};
@@ -47,6 +49,8 @@
     void on_peer_rate_grant(const rate_grant&) override {}
     void on_peers_discovered(const std::vector<peer_address>&) override {}
 
+    std::vector<std::uint64_t> eras; ///< Of the store, as peers told them.
+    store_eras own_eras;
     std::map<peer_address, int> statuses;
     std::map<peer_address, int> store_contacts;
     std::vector<std::string> calls;
@@ -279,3 +283,24 @@
     f.write_large(f.call_frame(7, "third", large));
     CHECK(run_until(f.io, [&] { return f.events.calls.size() == 3; }));
 }
+
+// Guards against nodes that don't follow the store and never learn that it has returned from an older copy,
+// and against a status that refers to an era which the peer doesn't know yet.
+TEST_CASE("a new era of the store is told to the peers before the status that follows")
+{
+    mesh_fixture f;
+    f.read_frames();
+    f.events.own_eras = {2};
+    f.mesh.publish_status();
+    f.mesh.publish_status();
+    std::vector<frame_type> sent;
+    for (const auto& frame : f.read_frames()) {
+        sent.push_back(frame.type);
+    }
+    CHECK(sent == std::vector<frame_type>{frame_type::store_eras, frame_type::status, frame_type::status});
+    f.write(frame(frame_type::store_eras, 0, encode(store_eras{3})));
+    f.write(frame(frame_type::store_eras, 0, "short"));
+    REQUIRE(run_until(f.io, [&] { return !f.events.eras.empty(); }));
+    settle(f.io);
+    CHECK(f.events.eras == std::vector<std::uint64_t>{3});
+}
