Order the states of evacuations by the era of the store, hold lost ones

Cause: the versions of two sets were compared though they came from different histories of the store: a set of version 61, then the removal at version 45. Sets now carry the era, which goes before the version, in evacuation_state, in evacuation_rows and between peers (in the frame store_eras, as a set of an older era may come from a peer after one of the newer). A set without an era, from a node of the last version, counts as one of the known era.

A row that is missing after a return isn't a removal by the operators. The evacuation is held for the evacuation time and ends then if the row is not back.

Evidence: four new tests of evacuation_state and evacuation_rows, one of the mesh.

--- a/include/peer/peer_messages.h
+++ b/include/peer/peer_messages.h
@@ -48,7 +48,8 @@
     bool allocates_rates = false; ///< The node may allocate the rates of workspaces.
     /// The sender has not heard the receiver lately and takes it for out of reach.
     bool misses_receiver = false;
-    /// Evacuated data centres; empty if the sender has not heard of an evacuation. Sent only if present.
+    /// Evacuated data centres, whose era is not part of the status; empty if the sender has not heard of an
+    /// evacuation. Sent only if present.
     std::optional<evacuation_set> evacuation{};
 };
 
@@ -60,7 +61,8 @@
 /// Eras of the store that the following messages of the sender refer to. Sent before the first such message
 /// and when they change, in a frame of its own because older nodes read no further fields of a status.
 struct store_eras {
-    std::uint64_t newest = 0; ///< That the sender has heard of.
+    std::uint64_t newest = 0;     ///< That the sender has heard of.
+    std::uint64_t evacuation = 0; ///< Of the evacuated data centres in its status.
 
     bool operator==(const store_eras&) const = default;
 };
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -117,8 +117,8 @@
         node_registry::events{events_.found, events_.removed, events_.fleet_read});
     events_.found(settings_.seeds);
     config_->on_rows([this](const followed_rows& r) {
-        events_.evacuation(r.full_read ? evacuation_.on_read(r.rows, r.as_of.version)
-                                       : evacuation_.on_changes(r.rows, r.as_of.version));
+        events_.evacuation(r.full_read ? evacuation_.on_read(r.rows, r.as_of)
+                                       : evacuation_.on_changes(r.rows, r.as_of));
     });
     config_->on_store_call_end(events_.store_call_end);
     config_->start();
--- a/src/node/traffic_plane.cpp
+++ b/src/node/traffic_plane.cpp
@@ -143,6 +143,7 @@
         refresh_members();
     }
     check_rate_allocation();
+    end_held_evacuations();
     enforce_evacuation();
     check_drained();
     elect_store_readers();
--- a/src/node/traffic_plane.h
+++ b/src/node/traffic_plane.h
@@ -116,7 +116,7 @@
     void on_peer_store_contact(const peer_address& address) override;
     void on_peer_store_era(std::uint64_t era) override;
     node_status own_status() override;
-    store_eras own_store_eras() const override { return {store_era_}; }
+    store_eras own_store_eras() const override { return {store_era_, evacuation_.known().era}; }
     rate_grant on_peer_rate_request(const rate_request& request) override
     {
         return router_.on_rate_request(request);
@@ -171,6 +171,7 @@
     refusal_reason refusal_here(const service_call& call) const;
     void on_peer_evacuation(const node_status& status);
     void apply_evacuation(const evacuation_change& change, std::string_view source);
+    void end_held_evacuations();
     /// Refuses requests to the own target once the evacuation of its data centre is complete.
     void enforce_evacuation();
     void record_peer_speed(const node_status& status, bool new_target);
--- a/src/node/traffic_plane_evacuation.cpp
+++ b/src/node/traffic_plane_evacuation.cpp
@@ -8,12 +8,11 @@
     if (!status.evacuation) {
         return;
     }
-    const auto before = evacuation_.known().version;
+    const bool outdated = evacuation_.outdated(*status.evacuation);
     const auto change =
         evacuation_.merge_from_peer(*status.evacuation, config_.content == nullptr, time_.now());
     apply_evacuation(change, status.self.address);
-    if (status.evacuation->version < before &&
-        status.evacuation->data_centres != evacuation_.known().data_centres) {
+    if (outdated && status.evacuation->data_centres != evacuation_.known().data_centres) {
         // The peer may be unable to reach the store, and its version is out of date.
         mesh_.schedule_publish();
     }
@@ -31,12 +30,13 @@
         log(log_level::warning, "evacuation begins",
             {{"data_centre", name},
              {"row_version", known.data_centres.at(name)},
+             {"era", known.era},
              {"version", known.version},
              {"source", source}});
     }
     for (const auto& name : change.ended) {
         log(log_level::warning, "evacuation ends",
-            {{"data_centre", name}, {"version", known.version}, {"source", source}});
+            {{"data_centre", name}, {"era", known.era}, {"version", known.version}, {"source", source}});
         if (name == settings_.data_centre) {
             // The target may have turned cold while it got few or no requests.
             target_dispatcher_.expect_cold_start();
@@ -50,6 +50,11 @@
     mesh_.publish_status();
 }
 
+void traffic_plane::end_held_evacuations()
+{
+    apply_evacuation(evacuation_.end_held(time_.now()), "row lost by the store");
+}
+
 void traffic_plane::enforce_evacuation()
 {
     target_dispatcher_.set_evacuated(evacuation_.complete(settings_.data_centre, time_.now()));
--- a/src/peer/peer_mesh.h
+++ b/src/peer/peer_mesh.h
@@ -164,6 +164,8 @@
     void choose_link(const std::shared_ptr<peer_link>& link);
     void close_redundant(peer_link& link);
     void on_status(peer_link& link, std::string_view payload);
+    /// Passes on a status, together with what its link has told before.
+    void pass_status(const peer_link& link, node_status& status);
     void on_call(peer_link& link, stream_id stream, std::string_view payload);
     static void on_cancel(peer_link& link, stream_id stream);
     void on_answer(peer_link& link, frame_type type, stream_id stream, std::string_view payload);
--- a/src/peer/peer_mesh_frames.cpp
+++ b/src/peer/peer_mesh_frames.cpp
@@ -76,7 +76,7 @@
 
 void peer_mesh::on_hello(peer_link& link, std::string_view payload)
 {
-    const auto hello = decode_hello(payload);
+    auto hello = decode_hello(payload);
     if (!hello || hello->status.self.address == self_) {
         log(log_level::warning, "peer hello not usable", {{"peer", link.peer}});
         link.end();
@@ -93,17 +93,25 @@
     if (first) {
         log(log_level::info, "peer found", {{"peer", link.peer}, {"service", hello->status.self.service}});
     }
-    events_.on_peer_status(hello->status);
+    pass_status(link, hello->status);
     events_.on_peers_discovered(hello->known);
 }
 
 void peer_mesh::on_status(peer_link& link, std::string_view payload)
 {
-    const auto status = decode_status(payload);
+    auto status = decode_status(payload);
     if (!status || status->self.address != link.peer) {
         return; // A status may arrive before the hello of its link.
     }
-    events_.on_peer_status(*status);
+    pass_status(link, *status);
+}
+
+void peer_mesh::pass_status(const peer_link& link, node_status& status)
+{
+    if (status.evacuation) {
+        status.evacuation->era = link.eras_received.evacuation;
+    }
+    events_.on_peer_status(status);
 }
 
 void peer_mesh::on_call(peer_link& link, stream_id stream, std::string_view payload)
--- a/src/peer/peer_messages.cpp
+++ b/src/peer/peer_messages.cpp
@@ -423,7 +423,7 @@
 std::string encode(const store_eras& m)
 {
     wire_writer w;
-    w.u64(m.newest);
+    w.u64(m.newest).u64(m.evacuation);
     return w.take();
 }
 
@@ -432,6 +432,7 @@
     wire_reader r{bytes};
     store_eras m;
     m.newest = r.u64();
+    m.evacuation = r.u64();
     return if_complete(r, m);
 }
 
--- a/tests/membership/evacuation_test.cpp
+++ b/tests/membership/evacuation_test.cpp
@@ -44,14 +44,14 @@
 TEST_CASE("of two changes of one row the later version counts")
 {
     evacuation_rows rows{platform::parse_evacuation_row};
-    rows.on_read({}, 5);
+    rows.on_read({}, {0, 5});
     const std::vector<store_row> both{row("north", 8, true), row("north", 7)};
-    CHECK(rows.on_changes(both, 8).data_centres.empty());
+    CHECK(rows.on_changes(both, {0, 8}).data_centres.empty());
     const std::vector<store_row> again{row("north", 9)};
-    CHECK(rows.on_changes(again, 9).data_centres == std::map<std::string, std::uint64_t>{{"north", 9}});
+    CHECK(rows.on_changes(again, {0, 9}).data_centres == std::map<std::string, std::uint64_t>{{"north", 9}});
     const std::vector<store_row> stale{row("north", 6, true)};
-    CHECK(rows.on_changes(stale, 10).data_centres.count("north") == 1);
-    CHECK(rows.on_changes(stale, 3).version == 10);
+    CHECK(rows.on_changes(stale, {0, 10}).data_centres.count("north") == 1);
+    CHECK(rows.on_changes(stale, {0, 3}).version == 10);
 }
 
 // Guards against an evacuation that never ends at a node: it missed the removal, and the store no longer has
@@ -61,9 +61,9 @@
     evacuation_rows rows{platform::parse_evacuation_row};
     const std::vector<store_row> before{row("north", 3), row("south", 4)};
     evacuation_state state{evacuate_time};
-    state.merge(rows.on_read(before, 5), false, start);
+    state.merge(rows.on_read(before, {0, 5}), false, start);
     const std::vector<store_row> after{row("south", 4)};
-    CHECK(state.merge(rows.on_read(after, 30), false, start).ended == names{"north"});
+    CHECK(state.merge(rows.on_read(after, {0, 30}), false, start).ended == names{"north"});
     CHECK(state.known() == evacuation_set{30, {{"south", 4}}});
 }
 
@@ -81,19 +81,19 @@
                                      row("cut-off", 2, false, "{\"a\""),
                                      row("more", 2, false, "{\"By\": \"ops\"}"),
                                      row("good", 2)};
-    CHECK(rows.on_read(odd, 5).data_centres ==
+    CHECK(rows.on_read(odd, {0, 5}).data_centres ==
           std::map<std::string, std::uint64_t>{{"good", 2}, {"more", 2}});
     const std::vector<store_row> spoilt{row("good", 6, false, "x")};
-    CHECK(rows.on_changes(spoilt, 6).data_centres.count("good") == 0);
+    CHECK(rows.on_changes(spoilt, {0, 6}).data_centres.count("good") == 0);
     std::vector<store_row> many;
     for (std::size_t i = 0; i < max_evacuated_data_centres + 50; ++i) {
         many.push_back(row("dc" + std::to_string(1000 + i), 7));
     }
-    CHECK(rows.on_read(many, 7).data_centres.size() == max_evacuated_data_centres);
-    CHECK(rows.on_read(many, 7).data_centres.count("dc1000") == 1);
+    CHECK(rows.on_read(many, {0, 7}).data_centres.size() == max_evacuated_data_centres);
+    CHECK(rows.on_read(many, {0, 7}).data_centres.count("dc1000") == 1);
     // The first row that was left out takes the place of a removed one.
     const std::vector<store_row> removal{row("dc1000", 8, true)};
-    CHECK(rows.on_changes(removal, 8).data_centres.size() == max_evacuated_data_centres);
+    CHECK(rows.on_changes(removal, {0, 8}).data_centres.size() == max_evacuated_data_centres);
     CHECK(platform::parse_evacuation_row({"op", "config", "{}", 1, false}).data_centre.empty());
 }
 
@@ -160,3 +160,64 @@
         CHECK(node.known() == evacuation_set{9, {{"south", 8}}});
     }
 }
+
+// The store returns from an older copy, and the operators end an evacuation. Guards against a data centre
+// that stays evacuated because the removal's version was given out before.
+TEST_CASE("a removal in a new era ends an evacuation although its version is lower")
+{
+    evacuation_rows rows{platform::parse_evacuation_row};
+    evacuation_state state{evacuate_time};
+    const std::vector<store_row> north{row("north", 61)};
+    const std::vector<store_row> restored{row("north", 40)};
+    const std::vector<store_row> removal{row("north", 45, true)};
+    state.merge(rows.on_read(north, {1, 61}), false, start);
+    CHECK_FALSE(state.merge(rows.on_read(restored, {2, 44}), false, start + 5s).any());
+    CHECK(state.merge(rows.on_changes(removal, {2, 45}), false, start + 6s).ended == names{"north"});
+    CHECK(state.known() == evacuation_set{45, {}, 2});
+}
+
+// Guards against a peer that hasn't heard of the store's return and brings back what the store has lost.
+TEST_CASE("a set of an older era does not replace one of a newer era")
+{
+    evacuation_state state{evacuate_time};
+    state.merge({45, {{"north", 40}}, 2}, false, start);
+    const evacuation_set older{61, {}, 1};
+    CHECK(state.outdated(older));
+    CHECK_FALSE(state.merge_from_peer(older, false, start).any());
+    CHECK(state.known().era == 2);
+}
+
+// Nodes of the last version name no era. Guards against a node that ignores them during a rolling update.
+TEST_CASE("a set without an era counts as one of the known era")
+{
+    evacuation_state state{evacuate_time};
+    state.merge({45, {}, 2}, false, start);
+    CHECK(state.merge_from_peer({46, {{"north", 46}}}, false, start).begun == names{"north"});
+    CHECK_FALSE(state.merge_from_peer({44, {}}, false, start).any());
+    CHECK(state.known() == evacuation_set{46, {{"north", 46}}, 2});
+}
+
+// The store returns from a copy without the row of an evacuation, and the operators write it again. Guards
+// against requests that reach the data centre in between, and against an evacuation that can never be ended.
+TEST_CASE("an evacuation whose row the store has lost is held until it is written again or its time is over")
+{
+    evacuation_state state{evacuate_time};
+    state.merge({61, {{"north", 61}}, 1}, false, start);
+    const auto returned = start + 10s;
+    CHECK_FALSE(state.merge({45, {}, 2}, false, returned).any());
+    CHECK_FALSE(state.merge({46, {}, 2}, false, returned + 1s).any());
+    CHECK(state.complete("north", returned + 1s));
+    SECTION("written again, then ended")
+    {
+        CHECK_FALSE(state.merge({47, {{"north", 47}}, 2}, false, returned + 2s).any());
+        CHECK_FALSE(state.end_held(returned + 1h).any());
+        CHECK(state.complete("north", returned + 1h));
+        CHECK(state.merge({48, {}, 2}, false, returned + 1h).ended == names{"north"});
+    }
+    SECTION("not written again")
+    {
+        CHECK_FALSE(state.end_held(returned + evacuate_time - 1ms).any());
+        CHECK(state.end_held(returned + evacuate_time).ended == names{"north"});
+        CHECK(state.evacuated().empty());
+    }
+}
--- a/tests/peer/peer_mesh_test.cpp
+++ b/tests/peer/peer_mesh_test.cpp
@@ -16,7 +16,11 @@
 /// Records the calls and status messages of peers.
 class call_recorder final : public peer_mesh_events {
 public:
-    void on_peer_status(const node_status& status) override { ++statuses[status.self.address]; }
+    void on_peer_status(const node_status& status) override
+    {
+        ++statuses[status.self.address];
+        evacuation = status.evacuation.value_or(evacuation);
+    }
     void on_peer_lost(const peer_address&) override {}
     std::shared_ptr<call_handle> on_peer_call(service_call call, std::shared_ptr<reply_sink>) override
     {
@@ -51,6 +55,7 @@
 
     std::vector<std::uint64_t> eras; ///< Of the store, as peers told them.
     store_eras own_eras;
+    evacuation_set evacuation; ///< Of the last status that held one.
     std::map<peer_address, int> statuses;
     std::map<peer_address, int> store_contacts;
     std::vector<std::string> calls;
@@ -290,7 +295,7 @@
 {
     mesh_fixture f;
     f.read_frames();
-    f.events.own_eras = {2};
+    f.events.own_eras = {2, 1};
     f.mesh.publish_status();
     f.mesh.publish_status();
     std::vector<frame_type> sent;
@@ -298,9 +303,15 @@
         sent.push_back(frame.type);
     }
     CHECK(sent == std::vector<frame_type>{frame_type::store_eras, frame_type::status, frame_type::status});
-    f.write(frame(frame_type::store_eras, 0, encode(store_eras{3})));
+    f.write(frame(frame_type::store_eras, 0, encode(store_eras{3, 2})));
     f.write(frame(frame_type::store_eras, 0, "short"));
     REQUIRE(run_until(f.io, [&] { return !f.events.eras.empty(); }));
     settle(f.io);
     CHECK(f.events.eras == std::vector<std::uint64_t>{3});
+    node_status status;
+    status.self.address = "127.0.0.1:1";
+    status.evacuation = evacuation_set{7, {{"north", 7}}};
+    f.write(frame(frame_type::status, 0, encode(status)));
+    REQUIRE(run_until(f.io, [&] { return f.events.evacuation.version == 7; }));
+    CHECK(f.events.evacuation.era == 2);
 }
