Play returns of the store from an older copy in the stand-in and the soak

No test could fail for this reason: the stand-in of the platform named no era, never lost a write, and answered a read from a version that it doesn't have. It now keeps copies for 20 s, returns from one on demand ("restore_ms"), gives versions out again, answers 410 beyond its own version, names its era in all answers, and writes the operators' lost rows again.

Two tests with real processes: a node alone gets a configuration that was written after the return although the versions had grown past those it knew; and the rows of all nodes are back while callers are served. The soak returns the store as one of its faults and checks the nodes' rows.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -16,6 +16,8 @@
 // stop_time of the settings, plus a margin to detect the exit of the process on a loaded machine.
 constexpr std::chrono::milliseconds shutdown_timeout{9000};
 constexpr const char* order_prefix = "order";
+constexpr std::size_t store_fault_kinds = 8;
+constexpr std::uint64_t max_copy_age_ms = 4000;
 
 struct machine_spec {
     const char* name;
@@ -215,7 +217,13 @@
 
 void soak_run::inject_store_fault()
 {
-    static constexpr std::array<const char*, 7> faults{
+    if (random_.below(store_fault_kinds) == 0) {
+        const auto age = 200 + random_.below(max_copy_age_ms);
+        log_event("store returns from a copy of " + std::to_string(age) + " ms ago");
+        deployment_.set_store_faults({{"restore_ms", age}});
+        return;
+    }
+    static constexpr std::array<const char*, store_fault_kinds - 1> faults{
         R"({"silent": true})",
         R"({"status": 503})",
         R"({"status": 429})",
@@ -352,6 +360,9 @@
         report_violation("the instances did not become ready within 30 s after the faults");
         return;
     }
+    if (!eventually([&] { return deployment_.nodes_in_store() == machines_.size(); })) {
+        report_violation("the store does not hold the row of each node");
+    }
     for (const auto& [name, s] : machines_) {
         const auto& m = deployment_.at(name);
         const auto id = "after-" + name;
--- a/tests/system/deployment.cpp
+++ b/tests/system/deployment.cpp
@@ -277,6 +277,13 @@
     send(store_address_, {"POST", "/control", {{"Content-Type", "application/json"}}, faults.dump()});
 }
 
+std::size_t deployment::nodes_in_store() const
+{
+    const auto r = send(store_address_, {"GET", "/api/rows-get?Table=nodes&part=", {}, {}});
+    const auto page = nlohmann::json::parse(r.response.body, nullptr, false);
+    return page.is_object() ? page.value("Rows", nlohmann::json::array()).size() : 0;
+}
+
 child_process deployment::start_caller(const std::vector<std::string>& flags, const std::string& name)
 {
     std::ofstream{folder_ + "/keys"} << "cafe " << key() << "\n";
--- a/tests/system/deployment.h
+++ b/tests/system/deployment.h
@@ -94,6 +94,9 @@
     /// Replaces the faults that the store injects (standin::store_faults); an empty object clears them.
     void set_store_faults(const nlohmann::json& faults);
 
+    /// Number of nodes whose rows the store holds.
+    std::size_t nodes_in_store() const;
+
     /// Sets the store address for a machine that is added later.
     void set_store_address(const std::string& machine, const std::string& address)
     {
--- a/tests/system/system_test.cpp
+++ b/tests/system/system_test.cpp
@@ -233,6 +233,44 @@
     CHECK(s.status(s.at("f1"))["config_version"] == 7);
 }
 
+// The store returns from an older copy, and its versions grow past those that the node knows before the node
+// reaches it. Guards against an acknowledged configuration that never comes into force: one node alone has no
+// peer that could pass it on.
+TEST_CASE("a configuration written after the store's return takes effect on a node without peers")
+{
+    deployment s;
+    s.configure(example_config(1));
+    s.add("b1", "back", "north");
+    REQUIRE(s.wait_until_serving());
+    const auto write_rows = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            s.evacuate("elsewhere", i % 2 == 0);
+        }
+    };
+    write_rows(11);
+    // The last of them evacuates, so the node has read them all.
+    REQUIRE(eventually([&] { return s.status(s.at("b1"))["evacuated"].size() == 1; }));
+    s.set_store_faults({{"status", 503}, {"restore_ms", 60'000}});
+    s.configure(example_config(7));
+    write_rows(40);
+    s.set_store_faults(nlohmann::json::object());
+    CHECK(eventually([&] { return s.status(s.at("b1"))["config_version"] == 7; }));
+    CHECK(eventually([&] { return s.nodes_in_store() == 1; }));
+}
+
+// The store returns without any row that a node has written. Guards against nodes that later ones don't find,
+// and against callers that notice.
+TEST_CASE("all nodes write their rows again after the store's return and go on serving")
+{
+    example_deployment s;
+    s.set_store_faults({{"restore_ms", 60'000}});
+    CHECK(eventually([&] { return s.nodes_in_store() == 4; }));
+    for (const auto* name : {"f1", "f2", "b1", "b2"}) {
+        CHECK(s.request(s.at(name), "GET", "/front/1", "returned-"s + name).response.status == 200);
+        CHECK(s.status(s.at(name))["config_version"] == 1);
+    }
+}
+
 // Guards against requests sent to a target after its node has acknowledged that the target shuts down.
 TEST_CASE("a target that shuts down receives no new request")
 {
--- a/tools/standin_platform/platform_store.cpp
+++ b/tools/standin_platform/platform_store.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::size_t max_page_rows = 500;
 constexpr std::chrono::milliseconds max_feed_wait{30'000};
+constexpr std::chrono::seconds max_copy_age{20};
+constexpr const char* operator_table = "op";
 
 http_response json_response(int status, const json& body)
 {
@@ -68,8 +70,19 @@
     return true;
 }
 
-void platform_store::handle(const http_request& request, steady_time now, const response_callback& respond)
+platform_store::response_callback platform_store::with_era(const response_callback& respond) const
 {
+    return [this, respond](http_response response) {
+        response.headers.push_back({"Store-Era", std::to_string(era_)});
+        respond(std::move(response));
+    };
+}
+
+void platform_store::handle(const http_request& request, steady_time now,
+                            const response_callback& respond_plain)
+{
+    now_ = now;
+    const auto respond = with_era(respond_plain);
     const auto path = request.target.substr(0, request.target.find('?'));
     if (path == "/control") {
         control(json::parse(request.body, nullptr, false));
@@ -130,6 +143,7 @@
     if (!preconditions_hold) {
         return json_response(412, {{"Rows", now}, {"Ver", version_}, {"NowS", 0}});
     }
+    save_copy();
     ++version_;
     for (const auto& set : body.value("SetKeys", json::array())) {
         rows_[{set.value("Table", ""), set.value("Key", "")}] = {set.value("Value", ""), version_, false};
@@ -167,6 +181,7 @@
 
 void platform_store::set_config(const std::string& document)
 {
+    save_copy();
     rows_[{"op", "config"}] = {encode_base64(document), ++version_, false};
     answer_feeds();
 }
@@ -193,7 +208,7 @@
                                const response_callback& respond)
 {
     const auto after = query_number(query, "after");
-    if (after < oldest_version_) {
+    if (after < oldest_version_ || after > version_) {
         respond({410, {}, {}});
         return;
     }
@@ -224,6 +239,7 @@
 
 void platform_store::tick(steady_time now)
 {
+    now_ = now;
     while (!delayed_writes_.empty() && delayed_writes_.front().first <= now) {
         transact(delayed_writes_.front().second);
         delayed_writes_.pop_front();
@@ -252,6 +268,40 @@
     if (body.value("drop_history", false)) {
         oldest_version_ = version_ + 1;
     }
+    if (const auto age = body.value("restore_ms", 0); age > 0) {
+        restore(std::chrono::milliseconds{age});
+    }
+}
+
+void platform_store::save_copy()
+{
+    while (!copies_.empty() && now_ - copies_.front().made > max_copy_age) {
+        copies_.pop_front();
+    }
+    copies_.push_back({now_, rows_, version_});
+}
+
+void platform_store::restore(std::chrono::milliseconds age)
+{
+    const auto first_lost =
+        std::find_if(copies_.begin(), copies_.end(), [&](const copy& c) { return c.made > now_ - age; });
+    ++era_;
+    // The connections of waiting calls end.
+    feeds_.clear();
+    if (first_lost == copies_.end()) {
+        return;
+    }
+    const auto lost = std::exchange(rows_, first_lost->rows);
+    version_ = first_lost->version;
+    copies_.erase(first_lost, copies_.end());
+    for (const auto& [key, row] : lost) {
+        const auto now = rows_.find(key);
+        const bool differs = now == rows_.end() ? !row.removed : now->second.version != row.version;
+        if (key.first == operator_table && differs) {
+            save_copy();
+            rows_[key] = {row.value, ++version_, row.removed};
+        }
+    }
 }
 
 } // namespace wagtailhatch::standin
--- a/tools/standin_platform/platform_store.h
+++ b/tools/standin_platform/platform_store.h
@@ -26,7 +26,8 @@
 };
 
 /// In-memory key-value store with the platform's interface: rows in tables under one version counter,
-/// transactions with version preconditions (compare-and-set), and long-poll change feeds.
+/// transactions with version preconditions (compare-and-set), and long-poll change feeds. It can return from
+/// an older copy: it then loses the writes since, gives their versions out again and names a new era.
 class platform_store {
 public:
     using response_callback = std::function<void(http_response)>;
@@ -53,6 +54,13 @@
         bool removed = false;
     };
     using row_key = std::pair<std::string, std::string>; ///< Table and key.
+    using table_rows = std::map<row_key, row>;
+    /// The content at one time, before the write that follows.
+    struct copy {
+        steady_time made{};
+        table_rows rows;
+        std::uint64_t version = 0;
+    };
     struct pending_feed {
         std::string table;
         std::uint64_t after = 0;
@@ -72,11 +80,19 @@
     void long_poll(const std::map<std::string, std::string>& query, steady_time now,
                    const response_callback& respond);
     void control(const nlohmann::json& body);
+    void save_copy();
+    /// Returns from the copy as of this long ago. The operators then write again what they had written.
+    void restore(std::chrono::milliseconds age);
+    /// Adds the era to each response.
+    response_callback with_era(const response_callback& respond) const;
     void answer_feeds();
     nlohmann::json changes(const std::string& table, std::uint64_t after) const;
 
-    std::map<row_key, row> rows_;
+    table_rows rows_;
     std::uint64_t version_ = 1;
+    std::uint64_t era_ = 1;
+    std::deque<copy> copies_;
+    steady_time now_{};                ///< Of the last call or tick.
     std::uint64_t oldest_version_ = 0; ///< Feeds from an older version get 410: their history was dropped.
     std::deque<pending_feed> feeds_;
     std::deque<std::pair<steady_time, nlohmann::json>> delayed_writes_;
