Pass on no body of an interim response

A server put a body behind an interim response (100 with a length, 103 in chunks); with real processes each such response reached its client with these bytes in front of the server's own.

Cause: the parser dropped the head of an interim response and handed its body to the listener, as if it belonged to the final response. An interim response ends with its head, whatever that announces; what follows has to be the final one, and "abc" isn't, so the response is malformed and the caller gets 502 or a retry.

Evidence: the new test of the parser failed in nine checks before. Not changed: a 204 or 304 that announces a body is still read with it.

--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -45,6 +45,11 @@
     in_value_ = false;
 }
 
+bool message_parser::in_interim_response() const
+{
+    return role_ == message_role::response && parser_.status_code < 200 && parser_.status_code != 101;
+}
+
 int message_parser::finish_head()
 {
     end_header();
@@ -64,13 +69,13 @@
     else {
         head_.status = static_cast<int>(parser_.status_code);
     }
-    // An interim response has no body and is followed by the final one.
-    const bool interim = role_ == message_role::response && head_.status < 200 && head_.status != 101;
+    const bool interim = in_interim_response();
     if (!interim) {
         events_.on_head(std::move(head_));
     }
     head_ = {};
-    return without_body_ ? skip_body : 0;
+    // An interim response has no body, also if its head announces one: the final response follows.
+    return without_body_ || interim ? skip_body : 0;
 }
 
 const http_parser_settings& message_parser::settings()
@@ -137,9 +142,7 @@
         const auto code = HTTP_PARSER_ERRNO(&parser_);
         if (complete_) {
             http_parser_pause(&parser_, 0);
-            const bool interim =
-                role_ == message_role::response && parser_.status_code < 200 && parser_.status_code != 101;
-            if (interim) {
+            if (in_interim_response()) {
                 reset(without_body_);
                 continue;
             }
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -76,6 +76,7 @@
     static const http_parser_settings& settings();
     void end_header();
     int finish_head();
+    bool in_interim_response() const;
 
     message_role role_;
     message_events& events_;
--- a/tests/http1/message_parser_test.cpp
+++ b/tests/http1/message_parser_test.cpp
@@ -104,6 +104,24 @@
     CHECK(seen.body == "ok");
 }
 
+// A faulty server puts a body behind an interim response. Guards against passing it on in front of the body
+// of the final response.
+TEST_CASE("the body of an interim response is never passed on")
+{
+    const std::string final_response = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nreal";
+    for (const std::string interim :
+         {"HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\nabc",
+          "HTTP/1.1 102 X\r\nContent-Length: 3\r\n\r\nabc",
+          "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"}) {
+        INFO(interim);
+        recorder seen;
+        message_parser parser{message_role::response, seen, max_head};
+        CHECK(parser.parse(interim + final_response).status == parse_status::malformed);
+        CHECK(seen.heads.empty());
+        CHECK(seen.body.empty());
+    }
+}
+
 // Guards against taking a truncated response for a complete one.
 TEST_CASE("only a response without a length ends with its connection")
 {
