Reject responses whose status line is not valid HTTP

Callers saw (MIXED, from other operators; shown here with real processes): a response of status 000 was dropped and its caller waited until the deadline (504), or, without a length, was taken for complete; 101 and 600 to 999 went through to callers, 101 on a connection that no one had asked to upgrade; "0200" was read as 200, "20" and "2 00" as interim.

Cause: http-parser takes any digits for a status, and everything below 200 counted as interim. A response now begins with a status line as HTTP has it: three digits, 100 to 599, not 101. Any other is malformed before its head is passed on: the attempt fails with unknown outcome, so idempotent requests are tried again and others end with 502.

Related paths: a reply between nodes with such a status is malformed as well (a node of the last version may pass one on); the client for the store and health checks rejected it already and shares the check now.

--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -1,5 +1,6 @@
 #include "src/http/curl_transfer.h"
 
+#include "include/http/http_status.h"
 #include "src/http/header_rules.h"
 
 #include <algorithm>
@@ -280,7 +281,7 @@
 bool curl_transfer::response_is_complete(std::string& why) const
 {
     const int status = response_.status;
-    if (status < 200 || status > 599) {
+    if (!http_status::is_final(status)) {
         why = "invalid final status " + std::to_string(status);
         return false;
     }
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -1,5 +1,9 @@
 #include "src/http1/message_parser.h"
 
+#include "include/http/http_status.h"
+#include "src/http1/status_line.h"
+
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -26,6 +30,7 @@
     head_ = {};
     field_.clear();
     value_.clear();
+    status_line_.clear();
     head_bytes_ = 0;
     field_memory_ = 0;
     in_value_ = false;
@@ -47,13 +52,13 @@
 
 bool message_parser::in_interim_response() const
 {
-    return role_ == message_role::response && parser_.status_code < 200 && parser_.status_code != 101;
+    return role_ == message_role::response && http_status::is_interim(static_cast<int>(parser_.status_code));
 }
 
 int message_parser::finish_head()
 {
     end_header();
-    if (parser_.http_major != 1) {
+    if (parser_.http_major != 1 || (role_ == message_role::response && !valid_status_line(status_line_))) {
         return reject_message;
     }
     head_complete_ = true;
@@ -124,6 +129,17 @@
     return table;
 }
 
+void message_parser::keep_status_line(std::string_view bytes)
+{
+    if (role_ != message_role::response) {
+        return;
+    }
+    if (status_line_.empty()) {
+        bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+    }
+    status_line_ += bytes.substr(0, status_line_prefix - status_line_.size());
+}
+
 parse_result message_parser::parse(std::string_view bytes)
 {
     std::size_t consumed = 0;
@@ -133,6 +149,7 @@
         if (in_head) {
             // One byte beyond the limit is enough to detect that the head is too large.
             rest = rest.substr(0, max_head_ + 1 - std::min(head_bytes_, max_head_));
+            keep_status_line(rest);
         }
         const auto used = http_parser_execute(&parser_, &settings(), rest.data(), rest.size());
         consumed += used;
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -77,6 +77,8 @@
     void end_header();
     int finish_head();
     bool in_interim_response() const;
+    /// Keeps the begin of a response's status line: http-parser accepts any number as the status.
+    void keep_status_line(std::string_view bytes);
 
     message_role role_;
     message_events& events_;
@@ -85,6 +87,7 @@
     message_head head_;
     std::string field_;
     std::string value_;
+    std::string status_line_; ///< Begin of the response, without empty lines in front of it.
     std::size_t head_bytes_ = 0;
     std::size_t field_memory_ = 0; ///< Of the header fields of a response, besides their text.
     bool in_value_ = false;
--- a/src/peer/peer_messages.cpp
+++ b/src/peer/peer_messages.cpp
@@ -1,5 +1,6 @@
 #include "include/peer/peer_messages.h"
 
+#include "include/http/http_status.h"
 #include "src/core/wire.h"
 
 #include <algorithm>
@@ -308,6 +309,9 @@
     reply_message m;
     m.load = get_load(r);
     m.response.status = static_cast<int>(r.u32());
+    if (!http_status::is_final(m.response.status)) {
+        return std::nullopt;
+    }
     const bool has_length = r.u8() != 0;
     const auto length = r.u64();
     if (has_length) {
--- a/tests/call/target_dispatcher_test.cpp
+++ b/tests/call/target_dispatcher_test.cpp
@@ -525,6 +525,23 @@
     CHECK_FALSE(sink->failure->may_have_run);
 }
 
+// Guards against a caller that gets status 000, or waits until its deadline, or gets the bytes of such a
+// response in front of those of a sound one: whether the request has run is unknown.
+TEST_CASE("a response without a valid status is a failure of unknown outcome")
+{
+    for (const std::string status : {"000", "100", "101", "999"}) {
+        INFO(status);
+        const auto head = "HTTP/1.1 " + status + " X\r\nId: a\r\nMark: 1\r\nContent-Length: 3\r\n\r\nabc";
+        fixture f{[&](std::size_t) { return raw_server::action{head + answer("a", "Mark: 1\r\n", "real")}; }};
+        const auto sink = f.start("a");
+        REQUIRE(f.wait([&] { return sink->over(); }));
+        CHECK_FALSE(sink->reply);
+        REQUIRE(sink->failure);
+        CHECK(sink->failure->may_have_run);
+        CHECK(sink->failure->reached_target);
+    }
+}
+
 // A target stops in the middle of its response's head and closes. Guards against a response that is framed as
 // complete although it is not (MIXED).
 TEST_CASE("a response whose head is cut off is a failure of unknown outcome")
--- a/tests/http1/message_parser_test.cpp
+++ b/tests/http1/message_parser_test.cpp
@@ -122,6 +122,42 @@
     }
 }
 
+// A server in trouble answers with status 000 and the like. Guards against responses that reach a caller
+// without a status that HTTP knows, that are dropped while the caller waits, or whose bytes get into another
+// response.
+TEST_CASE("a response whose status line is not valid HTTP is malformed")
+{
+    for (const std::string status :
+         {"000", "001", "099", "600", "999", "101", "20", "2 00", "0200", "2000", "20x", " 200", "-20"}) {
+        INFO(status);
+        const auto line = "HTTP/1.1 " + status + " X\r\n";
+        for (const std::string rest :
+             {"Content-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nreal",
+              "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "\r\nabc"}) {
+            recorder seen;
+            message_parser parser{message_role::response, seen, max_head};
+            CHECK(parser.parse(line + rest).status == parse_status::malformed);
+            CHECK_FALSE(parser.head_complete());
+            CHECK_FALSE(parser.finish());
+            CHECK(seen.heads.empty());
+            CHECK(seen.body.empty());
+        }
+    }
+    for (const std::string line : {"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 200\r\n",
+                                   "HTTP/1.1 599 \r\n", "\r\nHTTP/1.1 404 X\r\n"}) {
+        INFO(line);
+        recorder seen;
+        message_parser parser{message_role::response, seen, max_head};
+        const auto text = line + "Content-Length: 0\r\n\r\n";
+        auto status = parse_status::need_more;
+        for (const char byte : text) {
+            REQUIRE(status == parse_status::need_more);
+            status = parser.parse({&byte, 1}).status;
+        }
+        CHECK(status == parse_status::complete);
+    }
+}
+
 // Guards against taking a truncated response for a complete one.
 TEST_CASE("only a response without a length ends with its connection")
 {
--- a/tests/peer/peer_messages_test.cpp
+++ b/tests/peer/peer_messages_test.cpp
@@ -215,3 +215,16 @@
     CHECK_FALSE(none->repeated);
     CHECK_FALSE(decode_call(plain, now)->regions);
 }
+
+// A node of an older version passes on what its target sent. Guards against a status that no HTTP response
+// has.
+TEST_CASE("a reply without the status of a final response is malformed")
+{
+    for (const int status : {0, 99, 100, 101, 199, 600, 999, -1}) {
+        INFO(status);
+        CHECK_FALSE(decode_reply(encode(http_response{status, {}, "body"}, 4, {})));
+    }
+    for (const int status : {200, 304, 404, 599}) {
+        CHECK(decode_reply(encode(http_response{status, {}, "body"}, 4, {}))->response.status == status);
+    }
+}
