Read the table of nodes to its end, whatever the fleet's size

The bound is an option of the reader now, 200 pages for the nodes, and a read that ends at it no longer counts as knowing the fleet. Late rows don't count as having seen the own row. The new test of 50 pages fails with the bound of 20.

--- a/include/membership/node_registry.h
+++ b/include/membership/node_registry.h
@@ -75,8 +75,9 @@
     void on_read_page(const std::vector<store_row>& rows, bool last) override;
     void on_read_end(store_position as_of, bool complete) override;
     void on_changes(const std::vector<store_row>& rows, store_position as_of) override;
-    void on_late_rows(const std::vector<store_row>& rows) override { on_read_page(rows, true); }
+    void on_late_rows(const std::vector<store_row>& rows) override { apply(rows); }
 
+    void apply(const std::vector<store_row>& rows);
     void apply(const store_row& row, std::vector<peer_address>& found);
     /// Writes the own row unless a write is in progress or this node has left.
     void write_own();
--- a/include/store/table_reader.h
+++ b/include/store/table_reader.h
@@ -20,7 +20,8 @@
 
 struct table_reader_options {
     std::string table;
-    std::string first_key{}; ///< Full reads begin here.
+    std::string first_key{};    ///< Full reads begin here.
+    std::size_t max_pages = 20; ///< Bounds a full read of a table that does not end.
     /// Long-poll time-out of one call for changes.
     std::chrono::milliseconds wait{800};
     /// Time-out of the store's answer, in addition to the long poll. It doubles up to max_timeout while calls
--- a/src/membership/node_registry.cpp
+++ b/src/membership/node_registry.cpp
@@ -21,6 +21,8 @@
 constexpr duration rewrite_spread = 1s;
 // How long the incarnation of a node that has left is kept. A copy of the store is at most some seconds old.
 constexpr duration departure_memory = 60s;
+// Pages of up to 500 rows, for more nodes than any fleet has.
+constexpr std::size_t max_pages = 200;
 
 std::string process_name(std::uint64_t incarnation)
 {
@@ -49,6 +51,7 @@
 {
     table_reader_options out;
     out.table = nodes_table;
+    out.max_pages = max_pages;
     out.wait = options.wait;
     out.timeout = options.timeout;
     out.max_timeout = options.timeout;
@@ -180,11 +183,9 @@
 
 void node_registry::apply(const store_row& row, std::vector<peer_address>& found)
 {
-    const bool own = row.key == self_.address;
-    own_row_seen_ = own_row_seen_ || own;
     if (row.removed) {
         events_.removed(row.key);
-        if (own && own_.version > 0 && row.version > own_.version) {
+        if (row.key == self_.address && own_.version > 0 && row.version > own_.version) {
             write_own_after({});
         }
         return;
@@ -198,7 +199,7 @@
     }
 }
 
-void node_registry::on_read_page(const std::vector<store_row>& rows, bool /*last*/)
+void node_registry::apply(const std::vector<store_row>& rows)
 {
     std::vector<peer_address> found;
     for (const auto& row : rows) {
@@ -209,11 +210,22 @@
     }
 }
 
+void node_registry::on_read_page(const std::vector<store_row>& rows, bool /*last*/)
+{
+    own_row_seen_ = own_row_seen_ || std::any_of(rows.begin(), rows.end(), [this](const store_row& row) {
+                        return row.key == self_.address;
+                    });
+    apply(rows);
+}
+
 void node_registry::on_read_end(store_position as_of, bool complete)
 {
+    if (!complete) {
+        return;
+    }
     events_.read();
     const bool acknowledged = own_.version > 0 && own_ <= as_of;
-    if (complete && acknowledged && !own_row_seen_) {
+    if (acknowledged && !own_row_seen_) {
         log(log_level::warning, "own row missing", {{"era", as_of.era}, {"version", as_of.version}});
         write_own_after(rewrite_delay(self_.address));
     }
@@ -221,7 +233,7 @@
 
 void node_registry::on_changes(const std::vector<store_row>& rows, store_position /*as_of*/)
 {
-    on_read_page(rows, true);
+    apply(rows);
 }
 
 void node_registry::leave(std::function<void()> done)
--- a/src/store/table_reader.cpp
+++ b/src/store/table_reader.cpp
@@ -6,12 +6,6 @@
 #include <utility>
 
 namespace wagtailhatch {
-namespace {
-
-// Bounds a full read of a table that does not end.
-constexpr std::size_t max_read_pages = 20;
-
-} // namespace
 
 table_reader::table_reader(asio::io_context& io, row_store& store, table_reader_options options,
                            table_events& events)
@@ -45,7 +39,7 @@
     }
     enter_era(era);
     if (call_in_progress_ && !stopped_) {
-        log(log_level::info, "store table of an older era", {{"table", options_.table}, {"era", era}});
+        log(log_level::info, "store table to be read again", {{"table", options_.table}, {"era", era}});
         read();
     }
 }
@@ -128,7 +122,7 @@
         read_from_ = {position_.era, page.version};
     }
     const auto next = next_key(from, page);
-    const bool in_part = next && pages_ >= max_read_pages;
+    const bool in_part = next && pages_ >= options_.max_pages;
     const bool last = !next || in_part;
     events_.on_read_page(page.rows, last);
     if (!last) {
--- a/tests/membership/node_registry_test.cpp
+++ b/tests/membership/node_registry_test.cpp
@@ -281,3 +281,19 @@
     }
     CHECK(run_until(f.io, [&] { return f.store.writes.size() == 1; }));
 }
+
+// Guards against nodes that are never found because the table has many pages.
+TEST_CASE("the rows of a large fleet are read to the end")
+{
+    registry_fixture f;
+    answer_oldest(f.store.writes, result<store_position>{store_position{1, 5}});
+    constexpr int pages = 50;
+    for (int i = 1; i <= pages; ++i) {
+        REQUIRE(f.store.reads.size() == 1);
+        auto page = page_with("10.0.1." + std::to_string(i) + ":1", "s dc 0000000000000002", {1, 6});
+        page.truncated = i < pages;
+        answer_oldest(f.store.reads, result<store_page>{page});
+    }
+    CHECK(f.found.size() == pages);
+    CHECK(f.full_reads == 1);
+}
