--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -67,9 +67,7 @@
 
 void byte_stream::close()
 {
-    if (!std::exchange(open_, false)) {
-        return;
-    }
+    open_ = false;
     std::error_code ignored;
     socket_.close(ignored);
     queue_.clear();
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -30,7 +30,7 @@
     void pause_reading();
     void resume_reading();
 
-    /// Closes immediately, without calling on_closed().
+    /// Closes immediately, also before the connection is established, without calling on_closed().
     void close();
 
     bool is_open() const { return open_; }
--- a/src/http1/target_connection.cpp
+++ b/src/http1/target_connection.cpp
@@ -100,13 +100,7 @@
         return;
     }
     const auto keep = shared_from_this();
-    if (is_open()) {
-        close();
-    }
-    else {
-        std::error_code ignored;
-        socket().close(ignored);
-    }
+    close();
     owner_.on_end(*this);
 }
 
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -112,13 +112,7 @@
         return;
     }
     const auto keep = shared_from_this();
-    if (is_open()) {
-        close();
-    }
-    else {
-        std::error_code ignored;
-        socket().close(ignored);
-    }
+    close();
     owner_.on_link_end(*this);
 }
 
