--- a/include/store/store_position.h
+++ b/include/store/store_position.h
@@ -11,6 +11,7 @@
     std::uint64_t era = 0; ///< 0: the store does not name its era.
     std::uint64_t version = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on comparisons that use the operator
     auto operator<=>(const store_position&) const = default;
 };
 
