Read the store's tables once at a start, not again for the first era

The first answer names the first era that a node knows, and the readers took it for news: each node dropped the answer and read again. The readers learn the first era from the page itself.

--- a/include/membership/node_registry.h
+++ b/include/membership/node_registry.h
@@ -79,8 +79,9 @@
 
     void apply(const std::vector<store_row>& rows);
     void apply(const store_row& row, std::vector<peer_address>& found);
-    /// Writes the own row unless a write is in progress or this node has left.
+    /// Writes the own row, again after a failure, unless this node has left.
     void write_own();
+    /// Writes the own row later, unless a write is pending anyway.
     void write_own_after(duration wait);
     void on_own_written(const result<store_position>& position);
     /// Whether the store may have lost the own row since it acknowledged it.
@@ -98,11 +99,11 @@
     events events_;
     table_reader reader_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-    store_position own_;        ///< Of the own row; version 0 while the store has not acknowledged it.
-    bool own_row_seen_ = false; ///< In the current full read.
-    bool write_pending_ = false;
+    store_position own_;         ///< Of the own row; version 0 while the store has not acknowledged it.
+    bool own_row_seen_ = false;  ///< In the current full read.
+    bool write_pending_ = false; ///< A write of the own row, or the delay before it, is in progress.
     bool left_ = false;
-    std::map<peer_address, departure> departed_;
+    std::map<peer_address, departure> departed_; ///< Nodes that have left lately.
     duration write_backoff_{};
 };
 
--- a/src/node/control_plane.cpp
+++ b/src/node/control_plane.cpp
@@ -130,12 +130,12 @@
 {
     stats_.gauge("wh_store_era", "Newest known era of the store").set(static_cast<double>(era));
     events_.store_era(era);
-    config_->on_store_era(era);
-    registry_->on_store_era(era);
     if (before == 0) {
         log(log_level::info, "store era", {{"era", era}});
         return;
     }
+    config_->on_store_era(era);
+    registry_->on_store_era(era);
     stats_.counter("wh_store_era_changes_total", "Returns of the store from an older copy").add();
     log(log_level::warning, "store returned from an older copy", {{"era", era}, {"before", before}});
 }
