--- a/tests/system/system_test.cpp
+++ b/tests/system/system_test.cpp
@@ -271,6 +271,21 @@
     }
 }
 
+// A node has left, and the store returns from a copy that still holds its row. Guards against a process that
+// has ended and counts as a part of the fleet.
+TEST_CASE("the row of a node that has left is removed again after the store's return")
+{
+    example_deployment s;
+    std::this_thread::sleep_for(300ms);
+    const auto before_stop = std::chrono::steady_clock::now();
+    s.at("f2").node.signal(SIGTERM);
+    REQUIRE(s.at("f2").node.wait_exit(10s) == 0);
+    REQUIRE(s.nodes_in_store() == 3);
+    const auto age = std::chrono::steady_clock::now() - before_stop + 100ms;
+    s.set_store_faults({{"restore_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
+    CHECK(eventually([&] { return s.nodes_in_store() == 3; }));
+}
+
 // Guards against requests sent to a target after its node has acknowledged that the target shuts down.
 TEST_CASE("a target that shuts down receives no new request")
 {
