Report a failed connection as failed, whichever operation notices it

Cause: a socket reports its failure once. byte_stream::write_available got the reset as the error of a write and reported it later, from the event loop; the read that was ready in the same turn came first, found the end of the stream without an error, and target_connection took that for the end of a response without a length. The stream now keeps the error of its write, and any end after it carries that error: whether the peer ended the stream or it broke is decided in one place, not by the call that happens to see it.

Related paths: an end noticed while reading is paused was reported without an error, in front of unread bytes; it is a failure now (only callers' sessions use it, which don't look at the reason). Links between nodes and callers' requests are framed by lengths and never end with the connection. libcurl's calls (store, health checks) reject a response without a length. The control address reads requests only, framed as well.

--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -61,7 +61,7 @@
     }
     pollfd state{socket_.native_handle(), POLLRDHUP, 0};
     if (poll(&state, 1, 0) == 1 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
-        fail({});
+        fail(asio::error::connection_aborted);
     }
 }
 
@@ -81,7 +81,7 @@
     }
     const auto keep = shared_from_this();
     close();
-    on_closed(reason);
+    on_closed(write_error_ ? write_error_ : reason);
 }
 
 void byte_stream::wait_readable()
@@ -165,6 +165,7 @@
         if (ec) {
             // send() is called from the owner's code, so the failure is reported from the event loop.
             queue_.clear();
+            write_error_ = ec;
             asio::post(socket_.get_executor(), [this, ec, keep = shared_from_this()] { fail(ec); });
             return;
         }
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -46,7 +46,7 @@
     void start_reading();
 
     /// Detects that the peer has closed the connection while reading is paused, even if unread bytes precede
-    /// the end of the stream. Costs one system call.
+    /// the end of the stream, and reports it as a failure. Costs one system call.
     void check_peer_while_paused();
 
     /// Shuts down the sending side once everything is written. Reading continues.
@@ -62,7 +62,8 @@
     /// This many queued bytes were written to the socket.
     virtual void on_sent(std::size_t bytes) = 0;
 
-    /// The peer closed its side (no error) or the connection failed. The stream is already closed.
+    /// The peer closed its side and all its bytes were read (no error), or the connection failed, whichever
+    /// operation noticed it first. The stream is already closed.
     virtual void on_closed(const std::error_code& reason) = 0;
 
     asio::ip::tcp::socket& socket() { return socket_; }
@@ -75,6 +76,8 @@
     void fail(const std::error_code& reason);
 
     asio::ip::tcp::socket socket_;
+    /// The socket reports a failure only once: after a failed write, reading finds the end of the stream.
+    std::error_code write_error_;
     std::list<std::string> queue_; ///< A list allocates nothing while empty, unlike a deque.
     std::size_t front_sent_ = 0;   ///< Bytes of the first queued string already written.
     std::size_t unsent_ = 0;
--- a/tests/system/deployment.cpp
+++ b/tests/system/deployment.cpp
@@ -309,6 +309,20 @@
     return {std::istreambuf_iterator<char>{in}, {}};
 }
 
+void send_heartbeat(const deployment::machine& m, const std::string& instance, std::uint64_t sequence)
+{
+    const nlohmann::json body{{"Service", m.service},
+                              {"Address", m.target_address()},
+                              {"Zone", m.zone},
+                              {"Version", "v1"},
+                              {"Slots", 20},
+                              {"State", "ready"},
+                              {"ColdLeftS", 0},
+                              {"Sequence", sequence},
+                              {"born", 1}};
+    send(m.control(), {"PUT", "/api/instances/" + instance, {}, body.dump()}, std::chrono::seconds{1});
+}
+
 configuration example_config(std::uint64_t version)
 {
     configuration c;
--- a/tests/system/deployment.h
+++ b/tests/system/deployment.h
@@ -132,6 +132,10 @@
     std::size_t max_descriptors_ = 0; ///< Per node; 0 means unlimited.
 };
 
+/// Sends a heartbeat to the node of m for a ready target at its target address, in place of the target's own.
+/// sequence: increases with each heartbeat of the instance.
+void send_heartbeat(const deployment::machine& m, const std::string& instance, std::uint64_t sequence);
+
 /// Services front and back with one route each, a non-idempotent order route to front, and one workspace.
 configuration example_config(std::uint64_t version);
 
