Complete a response without a length only after the whole upload is sent

The end now counts once the rest of the upload is written; if the connection breaks before that, the response is truncated. A target that ends early and reads on (a lingering close) is served as before, and responses with a length or in chunks, which carry their own end, don't wait. byte_stream keeps the end back, because it owns the order of ends and errors.

Not covered: a reset after the end of a response whose upload was already written; nothing tells it from the usual close. A target that ends its side but neither reads nor closes is waited for until the request's deadline.

Related paths: callers that end their side are served further, so their sessions don't ask for this; nor do links between nodes, whose messages have lengths.

--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -84,9 +84,18 @@
     on_closed(write_error_ ? write_error_ : reason);
 }
 
+void byte_stream::on_peer_end()
+{
+    if (unsent_ > 0 && !write_error_ && end_requires_sending()) {
+        peer_ended_ = true;
+        return;
+    }
+    fail({});
+}
+
 void byte_stream::wait_readable()
 {
-    if (!open_ || paused_ || reading_) {
+    if (!open_ || paused_ || reading_ || peer_ended_) {
         return;
     }
     reading_ = true;
@@ -113,8 +122,12 @@
         if (would_block(ec)) {
             break;
         }
+        if (ec == asio::error::eof) {
+            on_peer_end();
+            return;
+        }
         if (ec) {
-            fail(ec == asio::error::eof ? std::error_code{} : ec);
+            fail(ec);
             return;
         }
         received = true;
@@ -189,6 +202,9 @@
         const auto keep = shared_from_this();
         on_sent(sent);
     }
+    if (peer_ended_ && queue_.empty()) {
+        fail({});
+    }
 }
 
 void byte_stream::wait_writable()
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -62,6 +62,10 @@
     /// This many queued bytes were written to the socket.
     virtual void on_sent(std::size_t bytes) = 0;
 
+    /// Whether the end of the peer's side counts only once everything queued is written. Until then it is
+    /// kept back, and a connection that breaks in the meantime has failed.
+    virtual bool end_requires_sending() const { return false; }
+
     /// The peer closed its side and all its bytes were read (no error), or the connection failed, whichever
     /// operation noticed it first. The stream is already closed.
     virtual void on_closed(const std::error_code& reason) = 0;
@@ -73,6 +77,7 @@
     void read_available();
     void write_available();
     void wait_writable();
+    void on_peer_end();
     void fail(const std::error_code& reason);
 
     asio::ip::tcp::socket socket_;
@@ -87,6 +92,7 @@
     bool paused_ = false;
     bool writing_ = false; ///< A wait for writability is pending.
     bool finishing_ = false;
+    bool peer_ended_ = false; ///< The end of the peer's side is kept back until everything is written.
 };
 
 } // namespace wagtailhatch
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -35,6 +35,7 @@
     field_memory_ = 0;
     in_value_ = false;
     head_complete_ = false;
+    ends_with_connection_ = false;
     complete_ = false;
     without_body_ = without_body;
 }
@@ -74,6 +75,7 @@
     else {
         head_.status = static_cast<int>(parser_.status_code);
     }
+    ends_with_connection_ = role_ == message_role::response && !head_.chunked && !head_.content_length;
     const bool interim = in_interim_response();
     if (!interim) {
         events_.on_head(std::move(head_));
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -69,6 +69,9 @@
     /// Whether any byte of the current message has been read.
     bool started() const { return head_bytes_ > 0; }
     bool head_complete() const { return head_complete_; }
+
+    /// Whether the current message is a response without a length, whose body ends with the connection.
+    bool ends_with_connection() const { return ends_with_connection_; }
     void set_max_head(std::size_t bytes) { max_head_ = bytes; }
 
 private:
@@ -92,6 +95,7 @@
     std::size_t field_memory_ = 0; ///< Of the header fields of a response, besides their text.
     bool in_value_ = false;
     bool head_complete_ = false;
+    bool ends_with_connection_ = false;
     bool complete_ = false;
     bool without_body_ = false;
 };
--- a/src/http1/target_connection.cpp
+++ b/src/http1/target_connection.cpp
@@ -235,6 +235,13 @@
     return overhead_ > max_overhead + max_overhead_per_byte * delivered_;
 }
 
+bool target_connection::end_requires_sending() const
+{
+    // The end of such a response is the only sign that it is complete, and a target that ends its side with a
+    // part of the request unread may reset the connection next.
+    return events_ && !skipping_ && parser_.ends_with_connection();
+}
+
 void target_connection::on_closed(const std::error_code& reason)
 {
     if (!events_) {
--- a/src/http1/target_connection.h
+++ b/src/http1/target_connection.h
@@ -92,6 +92,7 @@
 private:
     void on_bytes(std::string_view bytes) override;
     void on_sent(std::size_t) override {}
+    bool end_requires_sending() const override;
     void on_closed(const std::error_code& reason) override;
     void on_head(message_head head) override;
     void on_body(std::string_view bytes) override;
--- a/tests/http1/byte_stream_test.cpp
+++ b/tests/http1/byte_stream_test.cpp
@@ -30,12 +30,14 @@
     }
     using byte_stream::check_peer_while_paused;
 
+    bool requires_sending = false;
     std::string received;
     std::optional<std::error_code> end; ///< Reason of the end, once it is reported.
 
 private:
     void on_bytes(std::string_view bytes) override { received += bytes; }
     void on_sent(std::size_t) override {}
+    bool end_requires_sending() const override { return requires_sending; }
     void on_closed(const std::error_code& reason) override { end = reason; }
 };
 
@@ -114,3 +116,31 @@
     REQUIRE(f.wait_for_end());
     CHECK(*f.stream->end);
 }
+
+// Guards against a peer that ends its side, with most of what it was sent unread, and resets the connection a
+// moment later: which of the two is seen first must not decide whether it ended properly.
+TEST_CASE("an end that requires sending is kept back until everything is written")
+{
+    const bool reset = GENERATE(false, true);
+    stream_fixture f;
+    f.stream->requires_sending = true;
+    f.stream->send(std::string(long_message, 'x'));
+    f.peer_sends("whole");
+    f.peer.shutdown(asio::ip::tcp::socket::shutdown_send);
+    settle(f.io);
+    CHECK(f.stream->received == "whole");
+    CHECK_FALSE(f.stream->end);
+    if (reset) {
+        f.reset_by_peer();
+    }
+    std::vector<char> buffer(std::size_t{1} << 20);
+    std::error_code ec;
+    std::size_t taken = 0;
+    f.peer.non_blocking(!reset, ec);
+    REQUIRE(run_until(f.io, [&] {
+        taken += reset ? 0 : f.peer.read_some(asio::buffer(buffer), ec);
+        return f.stream->end.has_value();
+    }));
+    CHECK(static_cast<bool>(f.stream->end.value()) == reset);
+    CHECK((reset || f.stream->unsent() == 0));
+}
--- a/tests/http1/early_response_test.cpp
+++ b/tests/http1/early_response_test.cpp
@@ -23,7 +23,7 @@
     early_server target{
         io, {asio::ip::address_v4::loopback(), 0}, [&](const std::string&) { return answer; }};
     target_pool pool{io, time, target.address()};
-    const auto seen = std::make_shared<response_recorder>();
+    auto seen = std::make_shared<response_recorder>();
     target_request upload;
     upload.bytes = "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
     upload.body = std::string(size, 'x');
@@ -57,3 +57,42 @@
         }
     }
 }
+
+// A target ends its side after a part of the body, with the upload unread, and resets the connection a moment
+// later. Guards against taking the part for the whole response where the end is seen in front of the reset.
+TEST_CASE("a response without a length that ends during the upload is truncated by a later reset")
+{
+    for (const std::size_t part : {0U, 3000U}) {
+        for (const auto delay : delays) {
+            INFO(part << " bytes, ended and reset after " << delay.count() << " ms each");
+            const auto seen = upload_to(
+                {success_head + "\r\n" + std::string(part, 'b'), answer_end::end_then_reset, delay});
+            CHECK_FALSE(seen->ended);
+            CHECK(seen->failure == target_failure::truncated);
+        }
+    }
+}
+
+// Guards against failing sound responses: a target that ends one early and then reads the rest of the upload
+// has not broken the connection.
+TEST_CASE("a response without a length that ends early is complete once the upload is read")
+{
+    for (const auto delay : delays) {
+        for (const std::size_t read_size : {std::size_t{0}, upload_size}) {
+            INFO("ended after " << delay.count() << " ms, " << read_size << " bytes read");
+            const auto seen = upload_to({success_head + "\r\nwhole", answer_end::end, delay, read_size});
+            CHECK(seen->ended);
+            CHECK(seen->body == "whole");
+        }
+    }
+}
+
+// Guards against responses that wait for the end of an upload although they are framed by themselves.
+TEST_CASE("a response with a length is complete during the upload")
+{
+    for (const auto end : {answer_end::end_then_reset, answer_end::end}) {
+        const auto seen = upload_to({success_head + "Content-Length: 5\r\n\r\nwhole", end, 30ms});
+        CHECK(seen->ended);
+        CHECK(seen->body == "whole");
+    }
+}
--- a/tests/system/broken_response_test.cpp
+++ b/tests/system/broken_response_test.cpp
@@ -181,6 +181,7 @@
     result_counts counts;
     std::mutex guard;
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int caller = 0; caller < callers; ++caller) {
         threads.emplace_back([&, caller] {
             const auto& node = d.at(std::array{"f1", "f2", "b1", "b2"}.at(caller));
@@ -242,5 +243,6 @@
 {
     check_forms({{.what = "reset after 30 ms", .delay = 30ms},
                  {.what = "reset after 2 ms, 64 KB read", .delay = 2ms, .read_size = 65'536},
-                 {.what = "reset at once"}});
+                 {.what = "reset at once"},
+                 {.what = "ended, then reset", .end = answer_end::end_then_reset, .delay = 10ms}});
 }
