Take a head with a broken field name or a folded line for malformed

A caller's request with such lines was accepted as well, framed by `Content-Length : 3` or `Transfer-Encoding : chunked`, which other implementations ignore: two readings of one request (smuggling). A folded line was joined with the one before it, without the blank that HTTP puts there.

Cause: http-parser, as Debian builds it, takes a blank for a sign of a name, accepts the names that frame the body also with blanks behind them, and joins folded lines. Nothing looked at the names after it.

Now message_parser, which reads the heads of targets' responses and of callers' requests alike, accepts only names that are tokens, before anything of the head is passed on. A new small class follows the lines of the head for those that begin with a blank, which the parser's callbacks can't tell from the rest of a value. Such a response is malformed: an idempotent request is tried again, an order has an unknown outcome; such a request gets 400 (HTTP asks for one of the two for folded lines).

Control bytes in names, names without a colon and empty names were refused before; their rows in the test held.

Links between nodes carry no such heads. Trailers are read leniently but dropped.

--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -1,6 +1,7 @@
 #include "src/http1/message_parser.h"
 
 #include "include/http/http_status.h"
+#include "src/http/header_rules.h"
 #include "src/http1/status_line.h"
 
 #include <algorithm>
@@ -13,6 +14,13 @@
 constexpr int reject_message = -1;
 constexpr int skip_body = 1; ///< Tells http-parser that the message has no body, whatever its head says.
 
+/// Whether the fields may be passed on. http-parser accepts blanks in names, and frames the body by them.
+bool valid_names(const http_headers& headers)
+{
+    return std::all_of(headers.begin(), headers.end(),
+                       [](const auto& field) { return is_token(field.name); });
+}
+
 } // namespace
 
 message_parser::message_parser(message_role role, message_events& events, std::size_t max_head)
@@ -30,6 +38,7 @@
     head_ = {};
     field_.clear();
     value_.clear();
+    lines_ = {};
     status_line_.clear();
     head_bytes_ = 0;
     field_memory_ = 0;
@@ -59,7 +68,8 @@
 int message_parser::finish_head()
 {
     end_header();
-    if (parser_.http_major != 1 || (role_ == message_role::response && !valid_status_line(status_line_))) {
+    if (parser_.http_major != 1 || (role_ == message_role::response && !valid_status_line(status_line_)) ||
+        !valid_names(head_.headers)) {
         return reject_message;
     }
     head_complete_ = true;
@@ -151,9 +161,12 @@
         if (in_head) {
             // One byte beyond the limit is enough to detect that the head is too large.
             rest = rest.substr(0, max_head_ + 1 - std::min(head_bytes_, max_head_));
+            rest = rest.substr(0, lines_.scan(rest));
             keep_status_line(rest);
         }
-        const auto used = http_parser_execute(&parser_, &settings(), rest.data(), rest.size());
+        // No bytes would tell http-parser that the connection has ended.
+        const auto used =
+            rest.empty() ? 0 : http_parser_execute(&parser_, &settings(), rest.data(), rest.size());
         consumed += used;
         if (in_head) {
             head_bytes_ += used;
@@ -167,7 +180,7 @@
             }
             return {parse_status::complete, consumed};
         }
-        if (code != HPE_OK || parser_.upgrade != 0) {
+        if (code != HPE_OK || parser_.upgrade != 0 || lines_.faulty()) {
             const bool too_large = code == HPE_HEADER_OVERFLOW || field_memory_ > max_head_;
             return {too_large ? parse_status::head_too_large : parse_status::malformed, consumed};
         }
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/http/http_message.h"
+#include "src/http1/head_lines.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -90,6 +91,7 @@
     message_head head_;
     std::string field_;
     std::string value_;
+    head_lines lines_;
     std::string status_line_; ///< Begin of the response, without empty lines in front of it.
     std::size_t head_bytes_ = 0;
     std::size_t field_memory_ = 0; ///< Of the header fields of a response, besides their text.
--- a/tests/call/target_response_test.cpp
+++ b/tests/call/target_response_test.cpp
@@ -174,6 +174,25 @@
     }
 }
 
+// A target in trouble writes a blank or a control byte into the name of a field. Guards against passing the
+// line on, or a body that is framed by it: whether the request has run is unknown.
+TEST_CASE("a response with a broken field name is a failure of unknown outcome")
+{
+    for (const std::string field :
+         {"X Note: v", "X-Note : v", "X\x01Note: v", "Content-Length : 3", "A: b\r\n c"}) {
+        INFO(field);
+        const auto bytes = answer("a", "Mark: 1\r\n" + field + "\r\n", "real");
+        fixture f{[&](std::size_t) { return raw_server::action{bytes}; }};
+        const auto sink = f.start("a", false);
+        REQUIRE(f.wait([&] { return sink->over(); }));
+        CHECK_FALSE(sink->reply);
+        CHECK_FALSE(sink->head);
+        REQUIRE(sink->failure);
+        CHECK(sink->failure->may_have_run);
+        CHECK(sink->failure->reached_target);
+    }
+}
+
 // A target stops in the middle of its response's head and closes. Guards against a response that is framed as
 // complete although it is not (MIXED).
 TEST_CASE("a response whose head is cut off is a failure of unknown outcome")
--- a/tests/http1/message_parser_test.cpp
+++ b/tests/http1/message_parser_test.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
+#include <utility>
 #include <vector>
 
 using namespace wagtailhatch;
@@ -21,6 +23,36 @@
 
 constexpr std::size_t max_head = 1000;
 
+/// Parses the text in parts of this size in bytes until there is a result.
+parse_status parse_in_parts(message_parser& parser, std::string_view text, std::size_t part)
+{
+    auto status = parse_status::need_more;
+    while (status == parse_status::need_more && !text.empty()) {
+        status = parser.parse(text.substr(0, part)).status;
+        text.remove_prefix(std::min(part, text.size()));
+    }
+    return status;
+}
+
+/// Checks that a request and a response with these field lines are malformed, however their bytes are split,
+/// and that nothing of them is passed on.
+void check_malformed(const std::string& lines)
+{
+    for (const auto& [role, begin] : {std::pair{message_role::response, "HTTP/1.1 200 OK\r\n"},
+                                      {message_role::request, "POST / HTTP/1.1\r\n"}}) {
+        const auto text = begin + lines + "\r\n\r\nabc";
+        for (const auto part : {text.size(), std::size_t{1}}) {
+            INFO(text << " in parts of " << part << " bytes");
+            recorder seen;
+            message_parser parser{role, seen, max_head};
+            CHECK(parse_in_parts(parser, text, part) == parse_status::malformed);
+            CHECK_FALSE(parser.finish());
+            CHECK(seen.heads.empty());
+            CHECK(seen.body.empty());
+        }
+    }
+}
+
 } // namespace
 
 // Guards against request smuggling, and against losing bytes of the next message.
@@ -158,6 +190,59 @@
     }
 }
 
+// A server in trouble writes a blank or a control byte into the name of a field. Guards against passing such
+// a line on, and against framing a body by a line that other implementations ignore (request smuggling).
+TEST_CASE("a field name that is not a token makes the message malformed")
+{
+    for (const std::string field :
+         {"X Note: v", "X-Note : v", " X-Note: v", "\tX-Note: v", "X-Note\t: v", "X\tNote: v", "X\x01Note: v",
+          "X\x1fNote: v", "X\x7fNote: v", "X\x80Note: v", "X(Note): v", ": v", " : v", "X-Note",
+          "Content-Length : 3", "Content Length: 3", " Content-Length: 3", "Transfer-Encoding : chunked",
+          "Transfer Encoding: chunked"}) {
+        check_malformed(field);
+        check_malformed("A: b\r\n" + field + "\r\nContent-Length: 3");
+    }
+}
+
+// Guards against a field whose value depends on the reader: some join a folded line with a blank, some
+// without one, and some take it for a field.
+TEST_CASE("a folded field line makes the message malformed")
+{
+    for (const std::string fold :
+         {"\r\n ", "\r\n\t", "\r\n c: d", "\n c: d", "\n\tc: d", "\r\n  Content-Length: 4"}) {
+        check_malformed("A: b" + fold + "\r\nContent-Length: 3");
+        check_malformed("Content-Length: 3" + fold);
+    }
+}
+
+// Guards against rejecting what only looks like a broken head: blanks around values, any sign that a token
+// may have, and a body whose lines begin with a blank.
+TEST_CASE("sound field lines are passed on")
+{
+    const std::string lines = "!#$%&'*+-.^_`|~aZ09: a \"b\"\tc\r\nEmpty:\r\nColon: a: b\nTight:v\r\n";
+    const std::string body = "\r\n x: y\n z\r\n\r\n X Y: v";
+    const auto rest = lines + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    for (const auto& [role, begin] :
+         {std::pair{message_role::response, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n"},
+          {message_role::request, "\r\n\r\nPOST / HTTP/1.1\r\n"}}) {
+        const auto text = begin + rest;
+        for (const auto part : {text.size(), std::size_t{1}}) {
+            recorder seen;
+            message_parser parser{role, seen, max_head};
+            CHECK(parse_in_parts(parser, text, part) == parse_status::complete);
+            CHECK(seen.body == body);
+            REQUIRE(seen.heads.size() == 1);
+            const auto& headers = seen.heads[0].headers;
+            REQUIRE(headers.size() == 5);
+            CHECK(headers[0].name == "!#$%&'*+-.^_`|~aZ09");
+            CHECK(headers[0].value == "a \"b\"\tc");
+            CHECK(headers[1].value.empty());
+            CHECK(headers[2].value == "a: b");
+            CHECK(headers[3].value == "v");
+        }
+    }
+}
+
 // Guards against taking a truncated response for a complete one.
 TEST_CASE("only a response without a length ends with its connection")
 {
--- a/tests/system/broken_response_test.cpp
+++ b/tests/system/broken_response_test.cpp
@@ -246,3 +246,23 @@
                  {.what = "reset at once"},
                  {.what = "ended, then reset", .end = answer_end::end_then_reset, .delay = 10ms}});
 }
+
+// A target in trouble writes a blank or a control byte into the name of a field, or folds a line. Guards
+// against callers that get the line, or a body that is framed by it.
+TEST_CASE("no response with a broken field name reaches a caller")
+{
+    constexpr std::size_t small_upload = 1000;
+    const std::string length = "Content-Length: 8000\r\n";
+    std::vector<spoilt_form> forms;
+    for (const std::string& fields :
+         {"X Note: spoilt\r\n" + length, "X-Note : spoilt\r\n" + length, "X\x01Note: spoilt\r\n" + length,
+          "X-Note: a\r\n b spoilt\r\n" + length, std::string{"Content-Length : 3\r\n"},
+          std::string{"Content Length: 8000\r\nX-Note: spoilt\r\n"}}) {
+        forms.push_back({.what = fields,
+                         .fields = fields,
+                         .part = body_size,
+                         .end = answer_end::end,
+                         .upload = small_upload});
+    }
+    check_forms(forms);
+}
