Take line ends that aren't ones in a head or between chunks for malformed

Callers would get (MIXED): a 200 whose body lacks bytes, as complete. `3`, line end, `abcXX0`, two line ends reads as the body `abc`; `Content-Length: 3`, line end, a carriage return and `X` starts the body after the X.

Cause: http-parser as Debian builds it takes any byte for the line feed that ends a status line, a head, a chunk's size, and any two bytes for the line end after a chunk's data; it reads on over a line feed in a chunk's extension, where others end the line. Requests are read by the same rules (smuggling).

head_lines, which already follows the lines of a head, also rejects a carriage return without a line feed, and message_parser hands http-parser the head and the body apart. chunk_lines checks the line ends between the parts of a chunked body; the parser's callbacks for a chunk's begin and end pause it, so that its user knows where the parts end. Nothing is parsed twice.

Kept: a line feed alone ends a line of a head, as HTTP allows.

--- a/src/http1/head_lines.cpp
+++ b/src/http1/head_lines.cpp
@@ -10,7 +10,12 @@
     case place::before_start: // Empty lines in front of the start line are skipped.
         return c == '\r' || c == '\n' ? place::before_start : place::line;
     case place::line:
+        if (c == '\r') {
+            return place::line_end;
+        }
         return c == '\n' ? place::line_begin : place::line;
+    case place::line_end:
+        return c == '\n' ? place::line_begin : place::fault;
     case place::line_begin:
         if (c == ' ' || c == '\t') {
             return place::fault;
@@ -20,22 +25,19 @@
         }
         return c == '\n' ? place::end : place::line;
     case place::empty_line:
-        return place::end;
+        return c == '\n' ? place::end : place::fault;
     case place::end:
     case place::fault:
         break;
     }
-    return from;
+    return place::fault;
 }
 
 std::size_t head_lines::scan(std::string_view bytes)
 {
-    if (place_ == place::end) {
-        return bytes.size();
-    }
     for (std::size_t i = 0; i < bytes.size(); ++i) {
         if (place_ == place::line) {
-            i = std::min(bytes.find('\n', i), bytes.size());
+            i = std::min(bytes.find_first_of("\r\n", i), bytes.size());
             if (i == bytes.size()) {
                 break;
             }
--- a/src/http1/head_lines.h
+++ b/src/http1/head_lines.h
@@ -6,19 +6,19 @@
 
 namespace wagtailhatch {
 
-/// Follows the lines of a message's head, to find its end and the folded lines that http-parser joins with
-/// the line before them.
+/// Follows the lines of a message's head, to find its end and what http-parser reads otherwise than HTTP:
+/// folded lines, which it joins with the line before them, and bytes that it takes for a line feed.
 class head_lines {
 public:
-    /// Returns how many of the next bytes of the message belong to the head and are sound. All of them do if
-    /// the head has ended before.
+    /// Returns how many of the next bytes of the message belong to the head and are sound.
     std::size_t scan(std::string_view bytes);
 
-    /// Whether a line begins with a blank. Its readers differ in whether it is folded, a field or neither.
+    /// Whether readers differ in the lines: one begins with a blank, a carriage return ends none, or bytes of
+    /// the head follow its end.
     bool faulty() const { return place_ == place::fault; }
 
 private:
-    enum class place : std::uint8_t { before_start, line, line_begin, empty_line, end, fault };
+    enum class place : std::uint8_t { before_start, line, line_end, line_begin, empty_line, end, fault };
 
     static place next(place from, char c);
 
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -56,6 +56,8 @@
     field_.clear();
     value_.clear();
     lines_ = {};
+    chunks_.reset();
+    next_part_.reset();
     status_line_.clear();
     head_bytes_ = 0;
     field_memory_ = 0;
@@ -103,6 +105,9 @@
     else {
         head_.status = static_cast<int>(parser_.status_code);
     }
+    if (head_.chunked) {
+        chunks_.emplace();
+    }
     ends_with_connection_ = role_ == message_role::response && !head_.chunked && !head_.content_length;
     const bool interim = in_interim_response();
     if (!interim) {
@@ -113,6 +118,21 @@
     return without_body_ || interim ? skip_body : 0;
 }
 
+void message_parser::end_chunk_part(chunk_part next)
+{
+    next_part_ = next;
+    http_parser_pause(&parser_, 1); // Returns from http_parser_execute() at the end of the part.
+}
+
+bool message_parser::valid_chunks(std::string_view bytes)
+{
+    if (!chunks_->accept(bytes)) {
+        return false;
+    }
+    const auto next = std::exchange(next_part_, {});
+    return !next || chunks_->end_part(*next);
+}
+
 const http_parser_settings& message_parser::settings()
 {
     static const http_parser_settings table = [] {
@@ -149,9 +169,20 @@
             self(p).events_.on_body({at, size});
             return 0;
         };
+        s.on_chunk_header = [](http_parser* p) {
+            self(p).end_chunk_part(p->content_length > 0 ? chunk_part::data : chunk_part::trailers);
+            return 0;
+        };
+        s.on_chunk_complete = [](http_parser* p) {
+            // The last chunk has no data, and its trailers end with the message.
+            if ((p->flags & F_TRAILING) == 0) {
+                self(p).end_chunk_part(chunk_part::size_line);
+            }
+            return 0;
+        };
         s.on_message_complete = [](http_parser* p) {
             self(p).complete_ = true;
-            http_parser_pause(p, 1);
+            self(p).end_chunk_part(chunk_part::size_line);
             return 0;
         };
         return s;
@@ -170,6 +201,14 @@
     status_line_ += bytes.substr(0, status_line_prefix - status_line_.size());
 }
 
+std::size_t message_parser::execute(std::string_view bytes)
+{
+    if (bytes.empty()) {
+        return 0; // For http-parser, no bytes are the end of the connection.
+    }
+    return http_parser_execute(&parser_, &settings(), bytes.data(), bytes.size());
+}
+
 parse_result message_parser::parse(std::string_view bytes)
 {
     std::size_t consumed = 0;
@@ -182,16 +221,19 @@
             rest = rest.substr(0, lines_.scan(rest));
             keep_status_line(rest);
         }
-        // No bytes would tell http-parser that the connection has ended.
-        const auto used =
-            rest.empty() ? 0 : http_parser_execute(&parser_, &settings(), rest.data(), rest.size());
+        const auto used = execute(rest);
         consumed += used;
         if (in_head) {
             head_bytes_ += used;
         }
+        else if (chunks_ && !valid_chunks(rest.substr(0, used))) {
+            return {parse_status::malformed, consumed};
+        }
+        if (HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED) {
+            http_parser_pause(&parser_, 0);
+        }
         const auto code = HTTP_PARSER_ERRNO(&parser_);
         if (complete_) {
-            http_parser_pause(&parser_, 0);
             if (in_interim_response()) {
                 reset(without_body_);
                 continue;
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "include/http/http_message.h"
+#include "src/http1/chunk_lines.h"
 #include "src/http1/head_lines.h"
 
 #include <cstddef>
@@ -80,6 +81,9 @@
     static const http_parser_settings& settings();
     void end_header();
     int finish_head();
+    std::size_t execute(std::string_view bytes);
+    void end_chunk_part(chunk_part next);
+    bool valid_chunks(std::string_view bytes);
     bool in_interim_response() const;
     /// Keeps the begin of a response's status line: http-parser accepts any number as the status.
     void keep_status_line(std::string_view bytes);
@@ -92,7 +96,9 @@
     std::string field_;
     std::string value_;
     head_lines lines_;
-    std::string status_line_; ///< Begin of the response, without empty lines in front of it.
+    std::optional<chunk_lines> chunks_;   ///< Of a body in chunked transfer coding.
+    std::optional<chunk_part> next_part_; ///< Set once the current part of such a body is complete.
+    std::string status_line_;             ///< Begin of the response, without empty lines in front of it.
     std::size_t head_bytes_ = 0;
     std::size_t field_memory_ = 0; ///< Of the header fields of a response, besides their text.
     bool in_value_ = false;
--- a/tests/call/target_response_test.cpp
+++ b/tests/call/target_response_test.cpp
@@ -207,6 +207,16 @@
     check_unknown_outcome({head + "xchunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", true});
 }
 
+// A target's response has more bytes in a chunk than its size tells, or bytes in front of the body. Guards
+// against a body without those bytes, or shifted by them, that counts as complete (MIXED).
+TEST_CASE("a response that is not framed as its lines tell is a failure of unknown outcome")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: a\r\nMark: 1\r\n";
+    check_unknown_outcome({head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcXX0\r\n\r\n"});
+    check_unknown_outcome({head + "Transfer-Encoding: chunked\r\n\r\n3\rXabc\r\n0\r\n\r\n"});
+    check_unknown_outcome({head + "Content-Length: 3\r\n\rXabc"});
+}
+
 // A target stops in the middle of its response's head and closes. Guards against a response that is framed as
 // complete although it is not (MIXED).
 TEST_CASE("a response whose head is cut off is a failure of unknown outcome")
--- a/tests/http1/message_parser_test.cpp
+++ b/tests/http1/message_parser_test.cpp
@@ -240,6 +240,72 @@
     }
 }
 
+// Guards against a head whose end depends on the reader: the bytes behind it would shift into the body.
+TEST_CASE("a carriage return that ends no line makes the message malformed")
+{
+    for (const std::string lines : {"A: b\rC: d", "A: b\r\r", "A: b\r\n\rXContent-Length: 3",
+                                    "Content-Length: 3\r\n\r", "Content-Length: 3\r\n\rX", "A\r: b"}) {
+        check_malformed(lines);
+    }
+    for (const std::string text : {"HTTP/1.1 200 OK\rXContent-Length: 3\r\n\r\nabc",
+                                   "HTTP/1.1 200 OK\r\r\nContent-Length: 3\r\n\r\nabc",
+                                   "HTTP/1.1 200\rXContent-Length: 3\r\n\r\nabc"}) {
+        for (const auto part : {text.size(), std::size_t{1}}) {
+            INFO(text << " in parts of " << part << " bytes");
+            recorder seen;
+            message_parser parser{message_role::response, seen, max_head};
+            CHECK(parse_in_parts(parser, text, part) == parse_status::malformed);
+            CHECK(seen.heads.empty());
+        }
+    }
+}
+
+// A server in trouble writes more bytes than the size of their chunk tells, or something else between the
+// chunks. Guards against a body that lacks those bytes and still counts as complete, and against request
+// smuggling.
+TEST_CASE("chunks whose lines end otherwise than by a line end are malformed")
+{
+    for (const std::string body :
+         {"3\r\nabcXX0\r\n\r\n", "3\r\nabc\rX0\r\n\r\n", "3\r\nabcX\n0\r\n\r\n", "3\r\nabcd\r\n0\r\n\r\n",
+          "3\r\nabc\n0\r\n\r\n", "3\rXabc\r\n0\r\n\r\n", "3\nabc\r\n0\r\n\r\n", "3;a\nb\r\nabc\r\n0\r\n\r\n",
+          "3;\n\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n0\rX\r\n", "3\r\nabc\r\n0\r\n\rX",
+          "3\r\nabc\r\n0\r\nA: b\r\n\rX", "3\r\nabc\r\n0\r\n\n", "\r\n3\r\nabc\r\n0\r\n\r\n",
+          "+3\r\nabc\r\n0\r\n\r\n", "0x3\r\nabc\r\n0\r\n\r\n", "10000000000000000003\r\nabc\r\n0\r\n\r\n"}) {
+        for (const auto& [role, begin] : {std::pair{message_role::response, "HTTP/1.1 200 OK\r\n"},
+                                          {message_role::request, "POST / HTTP/1.1\r\n"}}) {
+            const auto text = std::string{begin} + "Transfer-Encoding: chunked\r\n\r\n" + body;
+            for (const auto part : {text.size(), std::size_t{1}}) {
+                INFO(text << " in parts of " << part << " bytes");
+                recorder seen;
+                message_parser parser{role, seen, max_head};
+                CHECK(parse_in_parts(parser, text, part) == parse_status::malformed);
+                CHECK_FALSE(parser.finish());
+            }
+        }
+    }
+}
+
+// Guards against rejecting sound chunks, and against trailers that change the message: they are dropped.
+TEST_CASE("chunks with extensions and trailers are read")
+{
+    for (const std::string body :
+         {"3\r\nabc\r\n3\r\n\r\n\n\r\n0\r\n\r\n", "003;a=b;c=\"d\"\r\nabc\r\n3 \r\n\r\n\n\r\n000;e\r\n\r\n",
+          "3\r\nabc\r\n3\r\n\r\n\n\r\n0\r\nX: y\r\nContent-Length: 9\r\nTransfer-Encoding: "
+          "gzip\r\nConnection: close\r\n\r\n"}) {
+        const auto text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body;
+        for (const auto part : {text.size(), std::size_t{1}}) {
+            INFO(text << " in parts of " << part << " bytes");
+            recorder seen;
+            message_parser parser{message_role::response, seen, max_head};
+            CHECK(parse_in_parts(parser, text, part) == parse_status::complete);
+            CHECK(seen.body == "abc\r\n\n");
+            REQUIRE(seen.heads.size() == 1);
+            CHECK(seen.heads[0].headers.size() == 1);
+            CHECK(seen.heads[0].keep_alive);
+        }
+    }
+}
+
 // Guards against a body whose end depends on the reader.
 TEST_CASE("a length that is broken or not the only one makes the message malformed")
 {
