Take a broken field line for malformed in the libcurl client as well

A line `HTTP/...` among the fields or the trailers emptied the head read so far, and trailers counted as fields of the head.

Cause: the client trimmed names before it looked at them and skipped lines without a colon; which line it was reading it told by its text.

Now it follows status line, fields and trailers by their order, accepts only names that are tokens right in front of a colon, and drops trailers, as message_parser does.

What held before and has a test now: broken status (000 and nine others), chunks that are longer than their size or cut off. A first field line that is folded is a failure by libcurl itself.

--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -219,18 +219,44 @@
         return false;
     }
     const std::string_view line{data, size};
-    if (line.substr(0, 5) == "HTTP/") {
-        // An interim response (1xx) precedes the final one.
+    switch (next_line_) {
+    case response_line::status:
         response_.headers.clear();
         content_lengths_ = 0;
         chunked_ = false;
+        next_line_ = response_line::field;
         return true;
+    case response_line::field:
+        if (line == "\r\n" || line == "\n") {
+            // An interim response (1xx) precedes the final one.
+            next_line_ = http_status::is_interim(status()) ? response_line::status : response_line::trailer;
+            return true;
+        }
+        return on_field_line(line);
+    case response_line::trailer:
+        break; // Dropped.
     }
-    const auto colon = line.find(':');
-    if (colon == std::string_view::npos) {
-        return true;
+    return true;
+}
+
+int curl_transfer::status() const
+{
+    long status = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
+    return static_cast<int>(status);
+}
+
+bool curl_transfer::on_field_line(std::string_view line)
+{
+    // libcurl passes on lines that it can't make sense of, and ignores names with a blank that frame the
+    // body.
+    const auto colon = std::min(line.find(':'), line.size());
+    const auto name = line.substr(0, colon);
+    if (colon == line.size() || !is_token(name)) {
+        protocol_error_ = "malformed header field";
+        return false;
     }
-    return on_field(std::string{trim(line.substr(0, colon))}, std::string{trim(line.substr(colon + 1))});
+    return on_field(std::string{name}, std::string{trim(line.substr(colon + 1))});
 }
 
 bool curl_transfer::on_field(const std::string& name, const std::string& value)
@@ -304,9 +330,7 @@
     if (code != CURLE_OK) {
         return failed(to_errc(code), curl_easy_strerror(code));
     }
-    long status = 0;
-    curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
-    response_.status = static_cast<int>(status);
+    response_.status = status();
     std::string why;
     if (!response_is_complete(why)) {
         return failed(errc::truncated, why);
--- a/src/http/curl_transfer.h
+++ b/src/http/curl_transfer.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace wagtailhatch {
 
@@ -47,6 +48,8 @@
     http_client::completion take_completion() { return std::move(done_); }
 
 private:
+    enum class response_line : std::uint8_t { status, field, trailer };
+
     void set_method();
     result<bool> set_headers();
     void set_connection(const socket_functions& sockets);
@@ -54,6 +57,8 @@
     bool add_header(const std::string& line);
     bool response_is_complete(std::string& why) const;
     bool on_header(const char* data, std::size_t size);
+    int status() const;
+    bool on_field_line(std::string_view line);
     bool on_field(const std::string& name, const std::string& value);
 
     static std::size_t header_function(char* data, std::size_t size, std::size_t count, void* self);
@@ -70,6 +75,7 @@
     std::size_t header_bytes_ = 0;
     int times_sent_ = 0;
     int content_lengths_ = 0;
+    response_line next_line_ = response_line::status;
     bool chunked_ = false;
     bool too_large_ = false;
     std::string protocol_error_; ///< First protocol violation in the response.
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -109,6 +109,67 @@
     CHECK(f.server.requests() == 1);
 }
 
+// A server in trouble writes a blank or a control byte into the name of a field, or folds a line. Guards
+// against a response that is passed on with such a line, or counts as complete by a length that libcurl
+// ignores.
+TEST_CASE("a response with a broken field name is malformed")
+{
+    const std::string field =
+        GENERATE("X Note: v", "X-Note : v", "X\x01Note: v", "X\tNote: v", "X\x7fNote: v", ": v", "X-Note",
+                 "A: b\r\nHTTP/1.1 : v", "A: b\r\n c", "A: b\r\n\tc: d", "Content-Length : 2",
+                 "Content Length: 2", "Transfer-Encoding : chunked");
+    const std::string length = GENERATE("Content-Length: 2\r\n", "");
+    INFO(field << ", " << length);
+    client_fixture f{always("HTTP/1.1 200 OK\r\n" + length + field + "\r\n\r\nok")};
+    const auto result = f.run("POST", "b");
+    INFO(result.reason.detail);
+    CHECK_FALSE(result.ok);
+    CHECK(result.reason.code == errc::malformed);
+    CHECK(result.sent == delivery::maybe_sent);
+}
+
+// Guards against a field line that is taken for a part of the status line.
+TEST_CASE("a response whose first field line is folded is a failure")
+{
+    const std::string blank = GENERATE(" ", "\t");
+    client_fixture f{always("HTTP/1.1 200 OK\r\n" + blank + "A: b\r\nContent-Length: 2\r\n\r\nok")};
+    CHECK_FALSE(f.run("POST", "b").ok);
+}
+
+// Guards against a body that lacks what a chunk has beyond its size.
+TEST_CASE("a response with broken chunks is a failure")
+{
+    const std::string body = GENERATE("3\r\nabcXX0\r\n\r\n", "3\r\nabc\rX0\r\n\r\n", "3\rXabc\r\n0\r\n\r\n",
+                                      "3\r\nabcd\r\n0\r\n\r\n", "3\r\nabc\r\n0\r\n\rX", "3\r\nabc\r\n0\r\n",
+                                      "3\r\nabc\r\n", "\r\n3\r\nabc\r\n0\r\n\r\n", "x\r\n\r\n");
+    INFO(body);
+    client_fixture f{always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body)};
+    CHECK_FALSE(f.run("POST", "b").ok);
+}
+
+// Guards against trailers that count as fields of the head, or reset it.
+TEST_CASE("trailers of a response are dropped")
+{
+    client_fixture f{always("HTTP/1.1 200 OK\r\nA: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+                            "B: 2\r\nContent-Length: 9\r\nHTTP/x: 1\r\n\r\n")};
+    const auto result = f.run("GET");
+    INFO(result.reason.detail);
+    REQUIRE(result.ok);
+    CHECK(result.response.body == "ok");
+    REQUIRE(result.response.headers.size() == 1);
+    CHECK(result.response.headers[0].value == "1");
+}
+
+// Guards against a response without a status that HTTP knows.
+TEST_CASE("a response with a broken status is a failure")
+{
+    const std::string status =
+        GENERATE("000", "001", "099", "600", "999", "20", "2 00", "0200", "2000", "20x");
+    INFO(status);
+    client_fixture f{always("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok")};
+    CHECK_FALSE(f.run("POST", "b").ok);
+}
+
 // A target answers a health check without end. Guards against a call that keeps as much of its response as
 // the largest of any call may have.
 TEST_CASE("a call may bound its response")
