Reject control requests with a blank in the name of a field

What would be seen: the control address took `Content-Length : 3` and `Transfer-Encoding : chunked` for the framing of a request, which other implementations ignore, and handed lines such as `X Note: v` to its handlers.

Cause: RESTinio reads with the same http-parser as the traffic path, and nothing looked at the names after it.

A request with a field name that isn't a token now gets 400 and the connection is closed, as with a request for an upgrade. Nothing of it reaches a handler.

Not covered: a folded line on the control address, which RESTinio joins with the value before it; its requests are of operators and the platform and are passed on to nobody.

--- a/src/http/restinio_server.cpp
+++ b/src/http/restinio_server.cpp
@@ -62,6 +62,21 @@
     return out;
 }
 
+/// RESTinio stops timeouts and reading on a connection that requests a protocol upgrade.
+bool asks_for_upgrade(const restinio::http_request_header_t& header)
+{
+    return header.connection() == restinio::http_connection_header_t::upgrade ||
+           header.method() == restinio::http_method_connect();
+}
+
+/// RESTinio accepts blanks in names, and frames the body by such names.
+bool has_valid_names(const restinio::http_request_header_t& header)
+{
+    bool valid = true;
+    header.for_each_field([&valid](const auto& field) { valid = valid && is_token(field.name()); });
+    return valid;
+}
+
 void send(const restinio::request_handle_t& to, http_response response, bool close,
           restinio::write_status_cb_t written)
 {
@@ -237,9 +252,7 @@
     entry->second.last_request = request->request_id();
     entry->second.socket->request_complete();
     ++entry->second.unfinished;
-    // RESTinio stops timeouts and reading on a connection that requests a protocol upgrade.
-    if (request->header().connection() == restinio::http_connection_header_t::upgrade ||
-        request->header().method() == restinio::http_method_connect()) {
+    if (asks_for_upgrade(request->header()) || !has_valid_names(request->header())) {
         send(request, http_response{400, {{"wh-outcome", "not-run"}, {"wh-reason", "malformed"}}, {}}, true,
              {});
         return restinio::request_accepted();
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -216,6 +216,22 @@
     CHECK(f.handled == 0);
 }
 
+// Guards against a request whose body ends elsewhere for another reader, as that may ignore such a line.
+TEST_CASE("a request with a blank in the name of a field is rejected")
+{
+    for (const std::string lines :
+         {"X Note: v\r\n\r\n", "X-Note : v\r\n\r\n", " X-Note: v\r\n\r\n", "Content Length: 3\r\n\r\n",
+          "Content-Length : 3\r\n\r\nabc", "Transfer-Encoding : chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"}) {
+        INFO(lines);
+        server_fixture f;
+        raw_client raw{f.io, f.server->port()};
+        raw.send("POST / HTTP/1.1\r\n" + lines);
+        CHECK(run_until(f.io, [&] { return raw.ended(); }));
+        CHECK(raw.received().find("HTTP/1.1 400") == 0);
+        CHECK(f.handled == 0);
+    }
+}
+
 // Guards against response splitting by a header value of the target.
 TEST_CASE("headers with line breaks are not sent")
 {
