Reset a cut response that would end with the connection

Callers of HTTP/1.0 saw (MIXED): a response without a length that the node had to cut off (the target's response was truncated, the caller's node stopped or died) ended like a complete one. Its head announced chunks too, which the body did not have.

Cause: for these callers alone the node answers without a length or chunks, and closed the connection in the same way whether the body was complete or not; the head was formatted without a look at the caller's version.

byte_stream can now be told to reset the connection at any end before its last byte is handed over (SO_LINGER with 0, taken back in front of the shutdown), so this holds also if the process is killed. A caller's session asks for it while such a response is under way, and the head leaves Transfer-Encoding out.

Related paths: responses with a length or in chunks tell a caller themselves that they are cut; they end without a reset as before, which could discard bytes in transit (a new test, held before). Everything else that the node sends has a length.

Evidence: caller_session_test failed before: the head, and each of six cuts (aborted, session ended, closed; 3 bytes and 8 MB) ended without an error. After: none; a whole response of 300,000 bytes still ends without one.

--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -164,6 +164,20 @@
     }
 }
 
+void byte_stream::reset_unless_finished()
+{
+    if (!resets_) {
+        set_reset_on_close(true);
+    }
+}
+
+void byte_stream::set_reset_on_close(bool reset)
+{
+    resets_ = reset;
+    std::error_code ignored;
+    socket_.set_option(asio::socket_base::linger{reset, 0}, ignored);
+}
+
 void byte_stream::write_available()
 {
     std::size_t sent = 0;
@@ -195,6 +209,9 @@
         wait_writable();
     }
     else if (open_ && finishing_) {
+        if (resets_) {
+            set_reset_on_close(false);
+        }
         std::error_code ignored;
         socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     }
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -52,6 +52,10 @@
     /// Shuts down the sending side once everything is written. Reading continues.
     void finish_sending();
 
+    /// From now on, an end of the connection resets it unless finish_sending() is done before: the peer must
+    /// not take what it has got for complete. Holds also if the process ends.
+    void reset_unless_finished();
+
     /// Received bytes; valid only during the call.
     virtual void on_bytes(std::string_view bytes) = 0;
 
@@ -78,6 +82,7 @@
     void write_available();
     void wait_writable();
     void on_peer_end();
+    void set_reset_on_close(bool reset);
     void fail(const std::error_code& reason);
 
     asio::ip::tcp::socket socket_;
@@ -92,6 +97,7 @@
     bool paused_ = false;
     bool writing_ = false; ///< A wait for writability is pending.
     bool finishing_ = false;
+    bool resets_ = false;     ///< Closing resets the connection.
     bool peer_ended_ = false; ///< The end of the peer's side is kept back until everything is written.
 };
 
--- a/src/http1/caller_exchange.h
+++ b/src/http1/caller_exchange.h
@@ -36,7 +36,8 @@
     /// Ends the body of a response begun with start().
     void finish();
 
-    /// Closes the connection, so that the caller sees a started response as truncated.
+    /// Closes the connection, so that the caller sees a started response as truncated. Resets it if the end
+    /// of the connection would end the body.
     void abort();
 
     /// The caller has disconnected; no response can reach it.
@@ -62,6 +63,7 @@
     bool answered_ = false;
     bool streaming_ = false;
     bool chunked_ = false;
+    bool ends_with_connection_ = false; ///< The body of a streamed response has neither a length nor chunks.
     bool complete_ = false;
     bool disconnected_ = false;
     bool head_request_ = false; ///< The response has no body.
--- a/src/http1/caller_session.cpp
+++ b/src/http1/caller_session.cpp
@@ -67,8 +67,10 @@
     }
     streaming_ = true;
     chunked_ = !length && !is_http_1_0_;
+    ends_with_connection_ = !length && is_http_1_0_;
     close_announced_ = session->closes_with(*this);
-    pending_output_ = format_response_head(head.status, head.headers, {length, close_announced_});
+    pending_output_ =
+        format_response_head(head.status, head.headers, {length, close_announced_, ends_with_connection_});
     session->flush();
 }
 
@@ -267,6 +269,9 @@
     while (is_open() && !exchanges_.empty()) {
         auto& front = *exchanges_.front();
         if (!front.pending_output_.empty()) {
+            if (front.ends_with_connection_) {
+                reset_unless_finished();
+            }
             send(std::exchange(front.pending_output_, {}));
             if (front.progress_callback_ && front.body_queued_ > 0 && unsent() == 0) {
                 front.progress_callback_(std::exchange(front.body_queued_, 0));
--- a/src/http1/message_format.cpp
+++ b/src/http1/message_format.cpp
@@ -90,7 +90,7 @@
     if (framing.length) {
         out += fmt::format("Content-Length: {}\r\n", *framing.length);
     }
-    else {
+    else if (!framing.ends_with_connection) {
         out += "Transfer-Encoding: chunked\r\n";
     }
     if (framing.close) {
--- a/tests/http/raw_peer.h
+++ b/tests/http/raw_peer.h
@@ -111,6 +111,8 @@
         socket_.close(ignored);
     }
     bool ended() const { return ended_ || failed_; }
+    /// Whether the connection has ended with an error.
+    bool broken() const { return broken_ || failed_; }
     const std::string& received() const { return received_; }
 
 private:
@@ -119,6 +121,7 @@
         socket_.async_read_some(asio::buffer(buffer_), [this](std::error_code ec, std::size_t n) {
             if (ec) {
                 ended_ = true;
+                broken_ = ec != asio::error::eof;
                 return;
             }
             received_.append(buffer_.data(), n);
@@ -130,6 +133,7 @@
     std::array<char, 65536> buffer_{};
     std::string received_;
     bool ended_ = false;
+    bool broken_ = false;
     bool failed_ = false;
 };
 
--- a/tests/http1/caller_session_test.cpp
+++ b/tests/http1/caller_session_test.cpp
@@ -398,3 +398,69 @@
     third.send(upload(body_budgets::max_small_body + 1));
     CHECK(f.wait([&] { return f.host.requests.size() == 3; }));
 }
+
+// Guards against a response to a caller of HTTP/1.0 that announces chunks it doesn't have.
+TEST_CASE("a response without a length to HTTP/1.0 ends with the connection")
+{
+    fixture f;
+    raw_client client{f.io, f.host.port()};
+    client.send("GET /1 HTTP/1.0\r\n\r\n");
+    REQUIRE(f.wait([&] { return f.host.requests.size() == 1; }));
+    const auto& exchange = f.host.requests[0];
+    exchange->start({200, {{"A", "b"}}, {}}, {});
+    const std::string body(300'000, 'x');
+    exchange->write(body);
+    exchange->finish();
+    REQUIRE(f.wait([&] { return client.ended(); }));
+    CHECK_FALSE(client.broken());
+    CHECK(client.received() == "HTTP/1.1 200 OK\r\nA: b\r\nConnection: close\r\n\r\n" + body);
+}
+
+// Guards against a cut response that looks complete to its caller, as the body ends with the connection
+// (MIXED).
+TEST_CASE("a cut response to HTTP/1.0 ends with a reset")
+{
+    enum class cut : std::uint8_t { aborted, session_ended, closed };
+    const auto how = GENERATE(cut::aborted, cut::session_ended, cut::closed);
+    const std::string body(GENERATE(std::size_t{3}, std::size_t{8'000'000}), 'x');
+    INFO(static_cast<int>(how) << ", " << body.size() << " bytes");
+    fixture f;
+    raw_client client{f.io, f.host.port()};
+    client.send("GET /1 HTTP/1.0\r\n\r\n");
+    REQUIRE(f.wait([&] { return f.host.requests.size() == 1; }));
+    const auto exchange = f.host.requests[0];
+    const auto session = *f.host.sessions.begin();
+    exchange->start({200, {}, {}}, {});
+    exchange->write(body);
+    REQUIRE(f.wait([&] { return !client.received().empty(); }));
+    if (how == cut::aborted) {
+        exchange->abort();
+    }
+    else if (how == cut::session_ended) {
+        session->end();
+    }
+    else {
+        session->close();
+    }
+    REQUIRE(f.wait([&] { return client.ended(); }));
+    CHECK(client.broken());
+}
+
+// Guards against resets in front of callers to whom the response itself tells that it is cut off: a reset may
+// discard bytes in transit.
+TEST_CASE("a cut response in chunks or with a length ends without a reset")
+{
+    const auto length = GENERATE(std::optional<std::uint64_t>{}, std::optional<std::uint64_t>{10});
+    fixture f;
+    raw_client client{f.io, f.host.port()};
+    client.send(get("/1"));
+    REQUIRE(f.wait([&] { return f.host.requests.size() == 1; }));
+    const auto exchange = f.host.requests[0];
+    exchange->start({200, {}, {}}, length);
+    exchange->write("part");
+    exchange->abort();
+    REQUIRE(f.wait([&] { return client.ended(); }));
+    CHECK_FALSE(client.broken());
+    CHECK(client.received().find("part") != std::string::npos);
+    CHECK(client.received().find("\r\n0\r\n\r\n") == std::string::npos);
+}
