--- a/src/http1/message_format.h
+++ b/src/http1/message_format.h
@@ -21,9 +21,9 @@
 
 /// Framing of a response body.
 struct body_framing {
-    std::optional<std::uint64_t> length; ///< In bytes; absent: chunked transfer coding, or see below.
+    std::optional<std::uint64_t> length; ///< In bytes; absent: chunked, unless it ends with the connection.
     bool close = false;                  ///< The connection is closed after the response.
-    bool ends_with_connection = false;   ///< Without a length: the end of the connection ends the body.
+    bool ends_with_connection = false;
 };
 
 /// Formats the status line, the headers and the framing headers.
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -81,8 +81,11 @@
     static const http_parser_settings& settings();
     void end_header();
     int finish_head();
+    /// Passes the bytes to http-parser; returns how many of them it has read.
     std::size_t execute(std::string_view bytes);
+    /// A part of a chunked body is complete; called by http-parser.
     void end_chunk_part(chunk_part next);
+    /// Whether the line ends are sound in these bytes of a chunked body, which http-parser has read.
     bool valid_chunks(std::string_view bytes);
     bool in_interim_response() const;
     /// Keeps the begin of a response's status line: http-parser accepts any number as the status.
--- a/tests/http1/message_parser_test.cpp
+++ b/tests/http1/message_parser_test.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 #include <vector>
 
@@ -23,15 +24,36 @@
 
 constexpr std::size_t max_head = 1000;
 
-/// Parses the text in parts of this size in bytes until there is a result.
-parse_status parse_in_parts(message_parser& parser, std::string_view text, std::size_t part)
+/// What has become of a message.
+struct parsed {
+    std::string what; ///< The message and the size of its parts, for failed checks.
+    parse_status status = parse_status::need_more;
+    bool complete_at_end = false; ///< Of the connection.
+    std::vector<message_head> heads;
+    std::string body;
+};
+
+/// Parses a message that arrives in parts of this size in bytes, up to the first result.
+parsed parse_in_parts(message_role role, std::string_view text, std::size_t part)
 {
-    auto status = parse_status::need_more;
-    while (status == parse_status::need_more && !text.empty()) {
-        status = parser.parse(text.substr(0, part)).status;
+    parsed out;
+    out.what = std::string{text} + " in parts of " + std::to_string(part) + " bytes";
+    recorder seen;
+    message_parser parser{role, seen, max_head};
+    while (out.status == parse_status::need_more && !text.empty()) {
+        out.status = parser.parse(text.substr(0, part)).status;
         text.remove_prefix(std::min(part, text.size()));
     }
-    return status;
+    out.complete_at_end = parser.finish();
+    out.heads = std::move(seen.heads);
+    out.body = std::move(seen.body);
+    return out;
+}
+
+/// Parses a message that arrives at once, and one that arrives byte by byte.
+std::array<parsed, 2> parse_both_ways(message_role role, const std::string& text)
+{
+    return {parse_in_parts(role, text, text.size()), parse_in_parts(role, text, 1)};
 }
 
 /// Checks that a request and a response with these field lines are malformed, however their bytes are split,
@@ -40,15 +62,12 @@
 {
     for (const auto& [role, begin] : {std::pair{message_role::response, "HTTP/1.1 200 OK\r\n"},
                                       {message_role::request, "POST / HTTP/1.1\r\n"}}) {
-        const auto text = begin + lines + "\r\n\r\nabc";
-        for (const auto part : {text.size(), std::size_t{1}}) {
-            INFO(text << " in parts of " << part << " bytes");
-            recorder seen;
-            message_parser parser{role, seen, max_head};
-            CHECK(parse_in_parts(parser, text, part) == parse_status::malformed);
-            CHECK_FALSE(parser.finish());
-            CHECK(seen.heads.empty());
-            CHECK(seen.body.empty());
+        for (const auto& message : parse_both_ways(role, begin + lines + "\r\n\r\nabc")) {
+            INFO(message.what);
+            CHECK(message.status == parse_status::malformed);
+            CHECK_FALSE(message.complete_at_end);
+            CHECK(message.heads.empty());
+            CHECK(message.body.empty());
         }
     }
 }
@@ -260,12 +279,10 @@
     for (const std::string text : {"HTTP/1.1 200 OK\rXContent-Length: 3\r\n\r\nabc",
                                    "HTTP/1.1 200 OK\r\r\nContent-Length: 3\r\n\r\nabc",
                                    "HTTP/1.1 200\rXContent-Length: 3\r\n\r\nabc"}) {
-        for (const auto part : {text.size(), std::size_t{1}}) {
-            INFO(text << " in parts of " << part << " bytes");
-            recorder seen;
-            message_parser parser{message_role::response, seen, max_head};
-            CHECK(parse_in_parts(parser, text, part) == parse_status::malformed);
-            CHECK(seen.heads.empty());
+        for (const auto& message : parse_both_ways(message_role::response, text)) {
+            INFO(message.what);
+            CHECK(message.status == parse_status::malformed);
+            CHECK(message.heads.empty());
         }
     }
 }
@@ -284,12 +301,10 @@
         for (const auto& [role, begin] : {std::pair{message_role::response, "HTTP/1.1 200 OK\r\n"},
                                           {message_role::request, "POST / HTTP/1.1\r\n"}}) {
             const auto text = std::string{begin} + "Transfer-Encoding: chunked\r\n\r\n" + body;
-            for (const auto part : {text.size(), std::size_t{1}}) {
-                INFO(text << " in parts of " << part << " bytes");
-                recorder seen;
-                message_parser parser{role, seen, max_head};
-                CHECK(parse_in_parts(parser, text, part) == parse_status::malformed);
-                CHECK_FALSE(parser.finish());
+            for (const auto& message : parse_both_ways(role, text)) {
+                INFO(message.what);
+                CHECK(message.status == parse_status::malformed);
+                CHECK_FALSE(message.complete_at_end);
             }
         }
     }
@@ -305,15 +320,13 @@
         const auto version = GENERATE(0, 1);
         const auto text =
             "HTTP/1." + std::to_string(version) + " 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body;
-        for (const auto part : {text.size(), std::size_t{1}}) {
-            INFO(text << " in parts of " << part << " bytes");
-            recorder seen;
-            message_parser parser{message_role::response, seen, max_head};
-            CHECK(parse_in_parts(parser, text, part) == parse_status::complete);
-            CHECK(seen.body == "abc\r\n\n");
-            REQUIRE(seen.heads.size() == 1);
-            CHECK(seen.heads[0].headers.size() == 1);
-            CHECK(seen.heads[0].keep_alive == (version == 1));
+        for (const auto& message : parse_both_ways(message_role::response, text)) {
+            INFO(message.what);
+            CHECK(message.status == parse_status::complete);
+            CHECK(message.body == "abc\r\n\n");
+            REQUIRE(message.heads.size() == 1);
+            CHECK(message.heads[0].headers.size() == 1);
+            CHECK(message.heads[0].keep_alive == (version == 1));
         }
     }
 }
@@ -341,14 +354,12 @@
     for (const auto& [role, begin] :
          {std::pair{message_role::response, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n"},
           {message_role::request, "\r\n\r\nPOST / HTTP/1.1\r\n"}}) {
-        const auto text = begin + rest;
-        for (const auto part : {text.size(), std::size_t{1}}) {
-            recorder seen;
-            message_parser parser{role, seen, max_head};
-            CHECK(parse_in_parts(parser, text, part) == parse_status::complete);
-            CHECK(seen.body == body);
-            REQUIRE(seen.heads.size() == 1);
-            const auto& headers = seen.heads[0].headers;
+        for (const auto& message : parse_both_ways(role, begin + rest)) {
+            INFO(message.what);
+            CHECK(message.status == parse_status::complete);
+            CHECK(message.body == body);
+            REQUIRE(message.heads.size() == 1);
+            const auto& headers = message.heads[0].headers;
             REQUIRE(headers.size() == 5);
             CHECK(headers[0].name == "!#$%&'*+-.^_`|~aZ09");
             CHECK(headers[0].value == "a \"b\"\tc");
