Refuse messages between nodes with a broken field name

Cause: the messages have a framing of their own, so nothing in them had to look like HTTP. The status of a reply is checked for the same reason already.

Both kinds of message that carry headers are now malformed with a name that isn't a token: a reply ends as a failure with an unknown outcome, a call is refused as not run. The rule stands in header_rules and is shared with message_parser.

Evidence: peer_messages_test failed before with 16 checks (eight names, replies and calls); after: none. No rolling update was played for it.

--- a/src/http/header_rules.cpp
+++ b/src/http/header_rules.cpp
@@ -22,6 +22,11 @@
     });
 }
 
+bool names_are_tokens(const http_headers& headers)
+{
+    return std::all_of(headers.begin(), headers.end(), [](const auto& h) { return is_token(h.name); });
+}
+
 bool is_field_value(std::string_view text)
 {
     return std::none_of(text.begin(), text.end(), [](char c) { return c == '\r' || c == '\n' || c == '\0'; });
--- a/src/http/header_rules.h
+++ b/src/http/header_rules.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "include/http/http_message.h"
+
 #include <string>
 #include <string_view>
 
@@ -10,6 +12,9 @@
 /// Whether the text is a token as defined by RFC 9110, as methods and header names must be.
 bool is_token(std::string_view text);
 
+/// Whether the names of all headers are tokens, so that every reader takes them for the same headers.
+bool names_are_tokens(const http_headers& headers);
+
 /// Whether the text is safe as a header value. A line break would start another header or message.
 bool is_field_value(std::string_view text);
 
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -15,13 +15,6 @@
 constexpr int reject_message = -1;
 constexpr int skip_body = 1; ///< Tells http-parser that the message has no body, whatever its head says.
 
-/// Whether the fields may be passed on. http-parser accepts blanks in names, and frames the body by them.
-bool valid_names(const http_headers& headers)
-{
-    return std::all_of(headers.begin(), headers.end(),
-                       [](const auto& field) { return is_token(field.name); });
-}
-
 /// Whether the body has no transfer coding but the one that is undone here, and so may be left out of the
 /// head. http-parser looks for chunked as the last coding, and reads a response without it to the end of the
 /// connection. read_as_chunked: what it decided.
@@ -89,7 +82,8 @@
     end_header();
     const bool valid_start = role_ == message_role::request || valid_status_line(status_line_);
     head_.chunked = (parser_.flags & F_CHUNKED) != 0;
-    if (parser_.http_major != 1 || !valid_start || !valid_names(head_.headers) ||
+    // http-parser accepts blanks in names, and frames the body by such names.
+    if (parser_.http_major != 1 || !valid_start || !names_are_tokens(head_.headers) ||
         !valid_transfer_coding(head_.headers, head_.chunked)) {
         return reject_message;
     }
--- a/src/peer/peer_messages.cpp
+++ b/src/peer/peer_messages.cpp
@@ -2,6 +2,7 @@
 
 #include "include/http/http_status.h"
 #include "src/core/wire.h"
+#include "src/http/header_rules.h"
 
 #include <algorithm>
 #include <cmath>
@@ -285,7 +286,7 @@
     m.request.method = r.text();
     m.request.target = r.str();
     m.request.headers = get_headers(r);
-    if (!r.ok()) {
+    if (!r.ok() || !names_are_tokens(m.request.headers)) {
         return std::nullopt;
     }
     m.request.body = r.tail();
@@ -318,7 +319,7 @@
         m.length = length;
     }
     m.response.headers = get_headers(r);
-    if (!r.ok()) {
+    if (!r.ok() || !names_are_tokens(m.response.headers)) {
         return std::nullopt;
     }
     m.response.body = r.tail();
--- a/tests/peer/peer_messages_test.cpp
+++ b/tests/peer/peer_messages_test.cpp
@@ -228,3 +228,18 @@
         CHECK(decode_reply(encode(http_response{status, {}, "body"}, 4, {}))->response.status == status);
     }
 }
+
+// A node of an older version passes on what its target or its caller sent. Guards against a line with a blank
+// or a control byte in its name that reaches a caller or a target by way of another node.
+TEST_CASE("a reply or a call with a field name that is not a token is malformed")
+{
+    for (const std::string name :
+         {"X Note", "X-Note ", " X-Note", "X\x01Note", "X\tNote", "X:", "Content-Length ", ""}) {
+        INFO(name);
+        CHECK_FALSE(decode_reply(encode(http_response{200, {{"A", "b"}, {name, "v"}}, "body"}, 4, {})));
+        auto call = sample_call("body");
+        call.request.headers.push_back({name, "v"});
+        CHECK_FALSE(decode_call(encode(call, now), now));
+    }
+    CHECK(decode_reply(encode(http_response{200, {{"!#$%&'*+-.^_`|~a0", "v"}}, "body"}, 4, {})));
+}
