Test that a cut is seen once a part of the response has gone to the caller

A row for the system test: 150,000 bytes of a body without a length, then a reset during the upload.

--- a/tests/system/broken_response_test.cpp
+++ b/tests/system/broken_response_test.cpp
@@ -94,7 +94,7 @@
         }
         ++spoilt_;
         return {"HTTP/1.1 " + form_.status + "\r\n" + head + form_.fields + "\r\n" +
-                    whole_body.substr(0, form_.part),
+                    std::string(form_.part, 'b'),
                 form_.end, form_.delay, form_.read_size};
     }
 
@@ -244,6 +244,7 @@
     check_forms({{.what = "reset after 30 ms", .delay = 30ms},
                  {.what = "reset after 2 ms, 64 KB read", .delay = 2ms, .read_size = 65'536},
                  {.what = "reset at once"},
+                 {.what = "reset after 30 ms, 150,000 bytes", .part = 150'000, .delay = 30ms},
                  {.what = "ended, then reset", .end = answer_end::end_then_reset, .delay = 10ms}});
 }
 
