Look at names and lines of a head by table and by line

The checks of the last commits doubled the time to parse a head of ten fields (2.7 to 5.6 microseconds in a program of its own, not kept), since each character of a name was looked up among the signs and each character of a line on its own.

--- a/src/http/header_rules.cpp
+++ b/src/http/header_rules.cpp
@@ -5,6 +5,22 @@
 #include <cctype>
 
 namespace wagtailhatch {
+namespace {
+
+/// A table, since every header name of every message is looked at.
+constexpr std::array<bool, 256> make_token_characters()
+{
+    std::array<bool, 256> table{};
+    for (const unsigned char c : std::string_view{"!#$%&'*+-.^_`|~0123456789"
+                                                  "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"}) {
+        table.at(c) = true;
+    }
+    return table;
+}
+
+constexpr auto token_characters = make_token_characters();
+
+} // namespace
 
 std::string to_lower(std::string_view text)
 {
@@ -16,10 +32,8 @@
 
 bool is_token(std::string_view text)
 {
-    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
-    return !text.empty() && std::all_of(text.begin(), text.end(), [marks](unsigned char c) {
-        return std::isalnum(c) != 0 || marks.find(static_cast<char>(c)) != std::string_view::npos;
-    });
+    return !text.empty() &&
+           std::all_of(text.begin(), text.end(), [](unsigned char c) { return token_characters[c]; });
 }
 
 bool names_are_tokens(const http_headers& headers)
--- a/src/http1/head_lines.cpp
+++ b/src/http1/head_lines.cpp
@@ -37,7 +37,8 @@
 {
     for (std::size_t i = 0; i < bytes.size(); ++i) {
         if (place_ == place::line) {
-            i = std::min(bytes.find_first_of("\r\n", i), bytes.size());
+            const auto line = bytes.substr(i, bytes.find('\n', i) - i);
+            i += std::min(line.find('\r'), line.size());
             if (i == bytes.size()) {
                 break;
             }
